Rename the package to scaledeal and put a real relay round the module

Cause: it was handed over as a library with an adapter only. The relay comes with this commit, as run has to start something that serves. Ruled out: fall-backs for the settings' names, as PROXY_CONFIG uses the wire's words.

--- a/brookpick/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""brookpick: the decisions of a balancer for long-lived connections, without any I/O."""
-
-from brookpick.policy import Balancer
-
-__all__ = ["Balancer"]
--- /dev/null
+++ b/scaledeal/__main__.py
@@ -0,0 +1,45 @@
+"""Starts one real relay: ``python -m scaledeal``."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import signal
+import sys
+from typing import cast
+
+from twisted.internet import reactor as installed
+from twisted.python.log import PythonLoggingObserver
+
+from scaledeal.net import config
+from scaledeal.net.ports import Reactor
+from scaledeal.net.relay import Relay
+
+
+def main() -> int:
+    """Run until told to stop."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        told = config.read()
+    except config.ConfigError as error:
+        print(f"scaledeal: {error}".replace("\n", " "), file=sys.stderr)
+        return 2
+    PythonLoggingObserver("scaledeal.twisted").start()
+    logging.getLogger("scaledeal.twisted").setLevel(logging.WARNING)
+    reactor = cast(Reactor, installed)
+    relay = Relay(reactor, told)
+    try:
+        relay.start()
+    except OSError as error:
+        print(f"scaledeal: PROXY_LISTEN: {error}".replace("\n", " "), file=sys.stderr)
+        return 2
+    # Twisted takes SIGTERM when it starts to run; from then on it means: move your clients, then go.
+    reactor.callWhenRunning(signal.signal, signal.SIGTERM, lambda *_: reactor.callFromThread(relay.drain))
+    gc.collect()
+    gc.freeze()
+    reactor.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/brookpick/interface.py
+++ b/scaledeal/interface.py
@@ -1,4 +1,4 @@
-"""The public interface of brookpick: settings, events and actions.
+"""The public interface of scaledeal: settings, events and actions.
 
 All times and durations are integer nanoseconds on the caller's clock. Events are handed to
 ``Balancer.handle(now, event)``, which returns the actions to carry out, in order.
--- /dev/null
+++ b/scaledeal/net/config.py
@@ -0,0 +1,87 @@
+"""What the relay is told at its start: the environment and the JSON file that it names."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from hashlib import blake2b
+from pathlib import Path
+
+import msgspec
+
+from scaledeal import interface as api
+from scaledeal.net.roster import Roster
+from scaledeal.settings import Document
+
+
+class ConfigError(Exception):
+    """The relay can't start with what it was told; the text is one plain line."""
+
+
+class Address(msgspec.Struct, frozen=True):
+    """A host and a port."""
+
+    host: str
+    port: int
+
+
+class _File(msgspec.Struct, frozen=True):
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    seed: str | int = ""
+    known: Roster = Roster()
+    settings: Document = Document()
+
+
+class Config(msgspec.Struct, frozen=True):
+    """The start of one relay, checked."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    known: Roster
+    document: Document
+    settings: api.Settings
+
+
+def address(text: str, what: str) -> Address:
+    """Read host:port."""
+    host, colon, port = text.rpartition(":")
+    if not (colon and host and port.isdecimal() and 0 <= int(port) < 65536):
+        raise ConfigError(f"{what}: host:port was expected, not {text!r}")
+    return Address(host.strip("[]"), int(port))
+
+
+def _seed(given: str | int) -> int:
+    """Return the seed as a number; any text will do."""
+    if isinstance(given, int):
+        return given
+    return int.from_bytes(blake2b(given.encode(), digest_size=8).digest(), "big")
+
+
+def read(environment: Mapping[str, str] = os.environ) -> Config:
+    """Read the start; the environment's values go before the file's."""
+    path = environment.get("PROXY_CONFIG", "")
+    if not path:
+        raise ConfigError("PROXY_CONFIG: is missing")
+    try:
+        file = msgspec.json.decode(Path(path).read_bytes(), type=_File)
+    except OSError as error:
+        raise ConfigError(f"PROXY_CONFIG: {path}: {error.strerror}") from None
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise ConfigError(f"PROXY_CONFIG: {path}: {error}") from None
+    try:
+        settings = file.settings.settings()
+    except ValueError as error:
+        raise ConfigError(f"settings: {error}") from None
+    return Config(
+        name=environment.get("PROXY_NAME") or file.name or "relay",
+        listen=address(environment.get("PROXY_LISTEN") or file.listen, "PROXY_LISTEN"),
+        discovery=address(environment.get("PROXY_DISCOVERY") or file.discovery, "PROXY_DISCOVERY"),
+        seed=_seed(file.seed),
+        known=file.known,
+        document=file.settings,
+        settings=settings,
+    )
--- /dev/null
+++ b/scaledeal/net/driver.py
@@ -0,0 +1,167 @@
+"""Plays the decision module on a real clock: events in, actions out, and no decision of its own.
+
+It knows transactions, application servers and times, and nothing of the lines that carry them.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from scaledeal import interface as api
+from scaledeal.net.ports import Reactor, Timer
+from scaledeal.net.sides import Agent, Ask, Prober
+from scaledeal.net.transaction import Transaction
+from scaledeal.policy import Balancer
+
+log = logging.getLogger("scaledeal.driver")
+
+
+class Driver:
+    """Owns the balancer, the clock, its timers and the table of transactions."""
+
+    def __init__(self, reactor: Reactor, settings: api.Settings, seed: int,
+                 clock: Callable[[], int] = time.monotonic_ns) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.balancer = Balancer(settings, seed)
+        self.transactions: dict[str, Transaction] = {}
+        self.addresses: dict[str, str] = {}  # where each application server was last said to be
+        self.draining = False  # this relay is to stop: whatever stands is moved
+        self.prober: Prober | None = None
+        self.watch: Callable[[], None] = lambda: None
+        self._numbered = 0
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+        self._parked: list[Transaction] = []  # standing at servers that no list has named yet
+        self._carry_out: dict[type, Callable[[Any], None]] = {
+            api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
+            api.Move: self._move, api.Probe: self._probe, api.Watch: lambda _: self.watch(),
+            api.SetTimer: self._set_timer, api.Log: lambda a: log.info("%s", a.text),
+        }
+
+    # The clock
+
+    def now(self) -> int:
+        """Return the time."""
+        return self.clock()
+
+    def later(self, delay: int, call: Callable[[], None]) -> Timer:
+        """Call after so many nanoseconds."""
+        return self.reactor.callLater(delay / 1e9, call)
+
+    # Events
+
+    def post(self, event: api.Event) -> None:
+        """Hand an event to the decision module and carry out what it wants done.
+
+        Guards against an action whose own events would reach the module in the middle of its others.
+        """
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self.balancer.handle(self.now(), event)
+        except Exception:  # one event's failure must not end the process: what is owed is still answered
+            log.exception("decision module failed on %s", type(event).__name__)
+            if isinstance(event, api.Timer):
+                self.later(250_000_000, lambda: self.post(event))
+            return
+        for action in actions:
+            try:
+                self._carry_out[type(action)](action)
+            except Exception:
+                log.exception("could not carry out %s", type(action).__name__)
+
+    # Transactions
+
+    def take(self, ask: Ask, agent: Agent) -> Transaction:
+        """Take a user agent's request."""
+        self._numbered += 1
+        transaction = Transaction(self, f"t{self._numbered}", ask, agent)
+        self.transactions[transaction.handle] = transaction
+        if ask.standing_at:
+            self._resume(transaction)
+        else:
+            self.post(api.Request(transaction.handle, ask.request_class, ask.deadline, ask.key, ask.group,
+                                  ask.tenant, returning=ask.returning, load_hint=ask.load_hint))
+        return transaction
+
+    def forget(self, transaction: Transaction) -> None:
+        """Take a transaction off the table."""
+        self.transactions.pop(transaction.handle, None)
+
+    def overdue(self, transaction: Transaction) -> None:
+        """Note that the decision module left a request unanswered."""
+        log.warning("request of class %d answered at its deadline: the module held it",
+                    transaction.ask.request_class)
+
+    def _resume(self, transaction: Transaction) -> None:
+        """Connect to where a connection stood before the start; no decision is due for that."""
+        server = transaction.ask.standing_at
+        if address := self.addresses.get(server):
+            transaction.send(server, address, 0)
+        else:
+            self._parked.append(transaction)
+
+    # The list of application servers
+
+    def listed(self, event: api.Membership, addresses: dict[str, str]) -> None:
+        """Take news of the list."""
+        self.addresses.update(addresses)
+        self.post(event)
+        stopped = {e.server for e in event.servers if e.state is not api.ServerState.LIVE}
+        if event.kind is api.MembershipKind.FULL:
+            stopped |= self.addresses.keys() - {e.server for e in event.servers}
+        if stopped:
+            # Guards against a connect that comes up, and is sent on, after the server was to get no more.
+            for transaction in list(self.transactions.values()):
+                if transaction.current is not None and transaction.server in stopped:
+                    transaction.current.withdraw()
+        parked, self._parked = self._parked, []
+        for transaction in parked:
+            if transaction.handle in self.transactions:
+                self._resume(transaction)
+
+    # Actions
+
+    def _send(self, action: api.Send) -> None:
+        if transaction := self.transactions.get(action.request):
+            transaction.send(action.server, self.addresses.get(action.server, ""), action.timeout)
+
+    def _refuse(self, action: api.Refuse) -> None:
+        if transaction := self.transactions.get(action.request):
+            transaction.refuse(action.retry_after)
+
+    def _fail(self, action: api.Fail) -> None:
+        if transaction := self.transactions.get(action.request):
+            transaction.fail()
+
+    def _cancel(self, action: api.Cancel) -> None:
+        if transaction := self.transactions.get(action.request):
+            transaction.cancel(action.attempt)
+
+    def _move(self, action: api.Move) -> None:
+        if transaction := self.transactions.get(action.request):
+            transaction.move()
+
+    def _probe(self, action: api.Probe) -> None:
+        address = self.addresses.get(action.server, "")
+        if self.prober is None or not address:
+            self.post(api.ProbeResult(action.server, api.Result.CONNECT_FAILED, 0))
+        else:
+            self.prober.probe(action.server, address)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self.later(action.delay, lambda: self.post(api.Timer(action.token)))
--- /dev/null
+++ b/scaledeal/net/health_probe.py
@@ -0,0 +1,132 @@
+"""Health probes: one connection to each application server, kept while probes follow one another."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from scaledeal import interface as api
+from scaledeal.net import wording
+from scaledeal.net.app_server import AppServerLink, dial
+from scaledeal.net.ports import Timer
+from scaledeal.net.proxy_pass import SECOND, Trade
+
+PATIENCE = 0.5  # seconds that a probe may take
+
+Report = Callable[[api.ProbeResult], None]
+
+
+class HealthProbe:
+    """Probes one application server; owns the connection and its one timer."""
+
+    def __init__(self, trade: Trade, server: str, idle: float, tell: Report) -> None:
+        self.trade = trade
+        self.server = server
+        self.idle = idle
+        self.tell = tell
+        self.address = ""
+        self.link: AppServerLink | None = None  # the connection in use
+        self.began = 0  # when the probe that is out was sent, 0 if none is
+        self.timer: Timer | None = None
+
+    def probe(self, address: str) -> None:
+        """Probe once."""
+        if self.began:
+            return
+        self.began = self.trade.now()
+        if self.link is not None and address != self.address:
+            self._drop()
+        self._set_timer(PATIENCE, self._too_late)
+        if self.link is not None:
+            self.link.send(wording.STATS)
+            return
+        self.address = address
+        self.link = AppServerLink(self.trade.reactor, self.trade.pool, self)
+        dial(self.link, address, self.trade.dial_timeout / SECOND)
+
+    def link_up(self) -> None:
+        """Send the probe."""
+        if self.link is not None and self.began:
+            self.link.send(wording.STATS)
+        elif self.link is not None:
+            self._drop()
+
+    def connect_failed(self) -> None:
+        """Report that no connection came up."""
+        self.link = None
+        self._result(api.Result.CONNECT_FAILED)
+
+    def line_came(self, line: bytes) -> None:
+        """Read the answer."""
+        if wording.first_word(line) == wording.PONG:
+            self._result(api.Result.OK, self.trade.read_report(line))
+        else:
+            self._result(api.Result.ERROR)
+
+    def link_lost(self, broke: bool) -> None:
+        """Report that the connection went, if an answer was due."""
+        self.link = None
+        self._result(api.Result.RESET)
+
+    def _too_late(self) -> None:
+        self.timer = None
+        self._result(api.Result.TIMEOUT)
+        self._drop()
+
+    def _drop(self) -> None:
+        """Close the connection; nothing more of it is heard."""
+        link, self.link = self.link, None
+        if link is not None:
+            link.owner = _Nobody(link)
+            link.reset()
+
+    def _result(self, result: api.Result, report: tuple[float, ...] = ()) -> None:
+        if not self.began:
+            self._stop_timer()
+            return
+        elapsed, self.began = self.trade.now() - self.began, 0
+        self._set_timer(self.idle, self._drop)
+        self.tell(api.ProbeResult(self.server, result, elapsed, report))
+
+    def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
+        self._stop_timer()
+        self.timer = self.trade.reactor.callLater(delay, call)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+
+
+class _Nobody:
+    """Owns a connection that was given up: one that comes up all the same is closed."""
+
+    def __init__(self, link: AppServerLink) -> None:
+        self.link = link
+
+    def link_up(self) -> None:
+        self.link.reset()
+
+    def connect_failed(self) -> None:
+        """Nothing."""
+
+    def line_came(self, line: bytes) -> None:
+        """Nothing."""
+
+    def link_lost(self, broke: bool) -> None:
+        """Nothing."""
+
+
+class HealthProbes:
+    """The health probes of all application servers."""
+
+    def __init__(self, trade: Trade, idle: int, tell: Report) -> None:
+        self.trade = trade
+        self.idle = idle / SECOND
+        self.tell = tell
+        self.probes: dict[str, HealthProbe] = {}
+
+    def probe(self, server: str, address: str) -> None:
+        """Probe once; exactly one result is reported."""
+        if server not in self.probes:
+            self.probes[server] = HealthProbe(self.trade, server, self.idle, self.tell)
+        self.probes[server].probe(address)
--- /dev/null
+++ b/scaledeal/net/ports.py
@@ -0,0 +1,88 @@
+"""What the relay uses of Twisted, as plain types: the reactor, its timers and transports."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+
+class Timer(Protocol):
+    """A call that is due later."""
+
+    def cancel(self) -> None:
+        """Take the call back."""
+
+    def active(self) -> bool:
+        """Tell whether it is still to come."""
+
+
+class Port(Protocol):
+    """A listening socket."""
+
+    def stopListening(self) -> object:  # noqa: N802
+        """Close it."""
+
+
+class Connector(Protocol):
+    """A connection that is being opened."""
+
+    def stopConnecting(self) -> None:  # noqa: N802
+        """Give it up; the factory hears of it as of a failure."""
+
+
+class Transport(Protocol):
+    """One end of a TCP connection."""
+
+    bufferSize: int  # noqa: N815
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes."""
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Write what is queued, then close."""
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """Write what is queued, then end the sending."""
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Reset the connection."""
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop reading."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read on."""
+
+    def registerProducer(self, producer: object, streaming: bool) -> None:  # noqa: N802
+        """Name who is to pause while too much is queued."""
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Forget that."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Send short lines at once."""
+
+
+class Reactor(Protocol):
+    """The part of Twisted's reactor that is used here."""
+
+    def callLater(self, delay: float, call: Callable[..., object], *args: Any) -> Timer:  # noqa: N802
+        """Call after so many seconds."""
+
+    def listenTCP(self, port: int, factory: Any, backlog: int, interface: str) -> Port:  # noqa: N802
+        """Listen."""
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> Connector:  # noqa: N802
+        """Open a connection."""
+
+    def callWhenRunning(self, call: Callable[..., object], *args: Any) -> object:  # noqa: N802
+        """Call once the reactor runs."""
+
+    def callFromThread(self, call: Callable[..., object]) -> object:  # noqa: N802
+        """Call from the reactor's loop; a signal handler may ask for it."""
+
+    def run(self) -> None:
+        """Run until stopped."""
+
+    def stop(self) -> None:
+        """End the program."""
--- /dev/null
+++ b/scaledeal/net/proxy_pass.py
@@ -0,0 +1,223 @@
+"""One attempt at an application server: connect, send, wait, relay, close.
+
+It owns its connection and the timer of its wait. Before the connection stands, its end is told only once the
+socket is closed, so that no second attempt can be out beside it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+import msgspec
+
+from scaledeal import interface as api
+from scaledeal.net import wording
+from scaledeal.net.app_server import AppServerLink, dial
+from scaledeal.net.buffers import BufferPool
+from scaledeal.net.lines import LineLink
+from scaledeal.net.ports import Connector, Reactor, Timer
+from scaledeal.net.sides import PassEvents
+
+SECOND = 1e9
+HALF_CLOSED = 0.9  # seconds that an application server gets to end what its client has ended
+
+
+class Stage(Enum):
+    """How far a pass has come."""
+
+    CONNECTING = 1
+    SENDING = 2  # the first line's last byte is not written yet: it can't have run
+    WAITING = 3
+    STANDING = 4
+    ENDING = 5
+
+
+class Trade(msgspec.Struct, frozen=True):
+    """What all proxy passes of this relay share."""
+
+    reactor: Reactor
+    pool: BufferPool
+    now: Callable[[], int]
+    read_report: Callable[[bytes], tuple[float, ...]]
+    dial_timeout: int
+
+
+class Peer(Protocol):
+    """The user agent's connection."""
+
+    def stands(self, link: LineLink, line: bytes) -> None:
+        """Pass on the answer; from here on lines go both ways."""
+
+    def pass_on(self, line: bytes) -> None:
+        """Pass a line on to the client."""
+
+
+_ENDINGS = {wording.BYE: api.Result.OK, wording.MOVE: api.Result.CANCELLED, wording.ERR: api.Result.ERROR}
+_ANSWERS = {**_ENDINGS, wording.BUSY: api.Result.FULL}
+
+
+class ProxyPass:
+    """One attempt."""
+
+    def __init__(self, trade: Trade, line: bytes, peer: Peer, events: PassEvents) -> None:
+        self.trade = trade
+        self.line = line
+        self.peer = peer
+        self.events = events
+        self.stage = Stage.CONNECTING
+        self.link = AppServerLink(trade.reactor, trade.pool, self)
+        self.result: api.Result | None = None
+        self.report: tuple[float, ...] = ()
+        self.last_word = api.Result.RESET  # how the connection ended, if it ended now
+        self.asked_at = 0  # when the oldest line without an answer was passed on
+        self.connector: Connector | None = None
+        self.timer: Timer | None = None
+
+    def begin(self, address: str, wait: int) -> ProxyPass:
+        """Connect; the whole pass may wait so many nanoseconds for its answer."""
+        self.timer = self.trade.reactor.callLater(wait / SECOND, self._timed_out)
+        self.connector = dial(self.link, address, min(wait, self.trade.dial_timeout) / SECOND)
+        return self
+
+    # What the transaction calls
+
+    def give_up(self) -> None:
+        """Stop waiting."""
+        self._stop(api.Result.CANCELLED)
+
+    def withdraw(self) -> None:
+        """Give up what has not been sent yet."""
+        if self.stage is Stage.CONNECTING:
+            self._stop(api.Result.CONNECT_FAILED)
+
+    def leave(self, broke: bool) -> None:
+        """End a connection that stands: the user agent's side is over."""
+        if self.stage is not Stage.STANDING:
+            return
+        self.stage, self.result = Stage.ENDING, api.Result.CANCELLED
+        if broke:
+            self.link.reset()
+        else:
+            self.link.end()
+
+    def silent_since(self) -> int:
+        """Return since when a message has waited for its answer, or 0."""
+        return self.asked_at if self.stage is Stage.STANDING else 0
+
+    def break_off(self) -> None:
+        """Take a connection that returns nothing as broken."""
+        if self.stage is Stage.STANDING:
+            self._stop(api.Result.TIMEOUT)
+
+    # What the user agent's side calls
+
+    def message(self, line: bytes) -> None:
+        """Pass a client's line on."""
+        if self.stage is Stage.STANDING:
+            self.asked_at = self.asked_at or self.trade.now()
+            self.link.send(line)
+
+    # News of the connection
+
+    def link_up(self) -> None:
+        """Send the first line."""
+        if self.stage is Stage.CONNECTING:
+            self.connector = None
+            self.stage = Stage.SENDING
+            self.link.send_first(self.line, self._written)
+        else:
+            self.link.reset()
+
+    def connect_failed(self) -> None:
+        """Hear that the connection never came up."""
+        self.connector = None
+        self._over(self.result or api.Result.CONNECT_FAILED, False)
+
+    def line_came(self, line: bytes) -> None:
+        """Take a line of the application server's."""
+        if self.stage is Stage.STANDING:
+            self._pass_on(line)
+        elif self.stage is not Stage.ENDING:
+            self._answer(line)
+
+    def link_lost(self, broke: bool) -> None:
+        """Hear that the connection is over."""
+        if self.stage is Stage.CONNECTING or self.stage is Stage.SENDING:
+            self._over(api.Result.CONNECT_FAILED, broke)
+        elif self.stage is Stage.ENDING:
+            self._over(self.result or api.Result.RESET, broke)
+        else:
+            self._over(self.last_word, broke)
+
+    # Inside
+
+    def _written(self) -> None:
+        if self.stage is Stage.SENDING:
+            self.stage = Stage.WAITING
+
+    def _answer(self, line: bytes) -> None:
+        """Take a line that comes before the connection stands."""
+        word = wording.first_word(line)
+        if word == wording.UP:
+            self._stop_timer()
+            self.stage = Stage.STANDING
+            self.peer.stands(self.link, line)
+            self.events.established()
+        elif word == wording.LOAD:
+            self._load(line)
+        else:
+            self.report = self.trade.read_report(line)
+            self.stage, self.result = Stage.ENDING, _ANSWERS.get(word, api.Result.ERROR)
+            if word == wording.BYE:
+                self.peer.pass_on(line)
+            self.link.close()
+
+    def _pass_on(self, line: bytes) -> None:
+        """Take a line of a connection that stands."""
+        word = wording.first_word(line)
+        self.peer.pass_on(line)
+        if word == wording.LOAD:
+            self._load(line)
+            return
+        if self.asked_at:
+            took = self.trade.now() - self.asked_at
+            self.asked_at = 0
+            self.events.noted(api.NoteKind.DELAY, took / wording.MS)
+        self.last_word = _ENDINGS.get(word, api.Result.RESET)
+        if word in (wording.BYE, wording.MOVE):
+            self.report = self.trade.read_report(line)
+            self.stage, self.result = Stage.ENDING, self.last_word
+            self.link.close()
+
+    def _load(self, line: bytes) -> None:
+        amount = wording.number(line.partition(b" ")[2].decode("ascii", "replace"))
+        self.events.noted(api.NoteKind.LOAD, amount)
+
+    def _timed_out(self) -> None:
+        # Guards against a connection that never came up counting as one that may have run.
+        self.timer = None
+        early = self.stage is Stage.CONNECTING
+        self._stop(api.Result.CONNECT_FAILED if early else api.Result.TIMEOUT)
+
+    def _stop(self, result: api.Result) -> None:
+        """Close at once; the end is told when the socket is closed."""
+        if self.stage is Stage.ENDING:
+            return
+        early = self.stage in (Stage.CONNECTING, Stage.SENDING) and result is api.Result.TIMEOUT
+        self.stage, self.result = Stage.ENDING, api.Result.CONNECT_FAILED if early else result
+        if self.connector is not None:
+            self.connector.stopConnecting()
+        else:
+            self.link.reset()
+
+    def _over(self, result: api.Result, broke: bool) -> None:
+        self.stage, self.result = Stage.ENDING, result
+        self._stop_timer()
+        self.events.over(result, self.report, broke)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
--- /dev/null
+++ b/scaledeal/net/relay.py
@@ -0,0 +1,105 @@
+"""Puts the parts of one relay together, starts it and stops it."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import ServerFactory
+
+from scaledeal.net.buffers import BufferPool
+from scaledeal.net.config import Config
+from scaledeal.net.driver import Driver
+from scaledeal.net.farm import Farm
+from scaledeal.net.health_probe import HealthProbes
+from scaledeal.net.ports import Port, Reactor
+from scaledeal.net.proxy_pass import Trade
+from scaledeal.net.roster import Calendar
+from scaledeal.net.transaction import State
+from scaledeal.net.user_agent import Reception, UserAgent
+from scaledeal.net.wording import report_reader
+
+log = logging.getLogger("scaledeal.relay")
+
+BACKLOG = 1024
+STILL_ARRIVING = 0.5  # seconds after SIGTERM during which the front may still send new connections
+SPREAD = 1.5  # seconds over which the standing clients are then moved
+LAST_CALL = 3.4  # seconds after SIGTERM at which whatever is left is ended; the kill comes at 3.7 or later
+
+
+class Door(ServerFactory):
+    """Makes a user agent's side for each new connection."""
+
+    noisy = False
+
+    def __init__(self, reception: Reception) -> None:
+        self.reception = reception
+
+    def buildProtocol(self, addr: IAddress | None) -> UserAgent:  # noqa: N802, D102
+        return UserAgent(self.reception)
+
+
+class Relay:
+    """One relay, from its start to its end."""
+
+    def __init__(self, reactor: Reactor, config: Config) -> None:
+        self.reactor = reactor
+        self.config = config
+        document = config.document
+        self.driver = Driver(reactor, config.settings, config.seed)
+        trade = Trade(reactor, BufferPool(), self.driver.now, report_reader(document.report.fields),
+                      int(document.caps.dial_timeout))
+        self.driver.prober = HealthProbes(trade, int(document.caps.idle_close), self.driver.post)
+        self.farm = Farm(reactor, config.discovery.host, config.discovery.port, document.failure_domains,
+                         Calendar(time.monotonic_ns(), time.time_ns()), self.driver.listed)
+        self.driver.watch = self.farm.watch
+        classes = {entry.name: number for number, entry in enumerate(document.classes)}
+        self.door = Door(Reception(trade, classes, self.driver.take))
+        self.port: Port | None = None
+
+    def start(self) -> None:
+        """Take the list as last held, then listen."""
+        self.farm.start_with(self.config.known)
+        listen = self.config.listen
+        self.port = self.reactor.listenTCP(listen.port, self.door, BACKLOG, listen.host)
+        log.info("relay %s listens on %s:%d, %d application servers known", self.config.name, listen.host,
+                 listen.port, len(self.config.known.endpoints))
+
+    # The end
+
+    def drain(self) -> None:
+        """Begin the end: keep listening and answering, then move whoever stands."""
+        if not self.driver.draining:
+            log.info("told to stop: %d requests and connections to finish", len(self.driver.transactions))
+            self.reactor.callLater(STILL_ARRIVING, self._move_all)
+            self.reactor.callLater(LAST_CALL, self._last_call)
+
+    def _move_all(self) -> None:
+        # From here on whatever comes up is moved at once.
+        self.driver.draining = True
+        standing = [t for t in self.driver.transactions.values() if t.state is State.STANDING]
+        for number, transaction in enumerate(standing):
+            # Guards against a herd: all of them coming to the other relays in one moment.
+            self.reactor.callLater(SPREAD * number / len(standing), transaction.move)
+        self.reactor.callLater(SPREAD, self._leave_when_done)
+
+    def _leave_when_done(self) -> None:
+        if self.driver.transactions:
+            self.reactor.callLater(0.05, self._leave_when_done)
+        else:
+            # The last answers are written; their clients get a moment to take them.
+            self.reactor.callLater(0.1, self._leave)
+
+    def _last_call(self) -> None:
+        for transaction in list(self.driver.transactions.values()):
+            transaction.move()
+            transaction.fail()
+        self.reactor.callLater(0.1, self._leave)
+
+    def _leave(self) -> None:
+        if self.port is not None:
+            self.port.stopListening()
+            self.port = None
+            log.info("stopped: %d requests and connections were left", len(self.driver.transactions))
+            self.reactor.stop()
--- /dev/null
+++ b/scaledeal/net/sides.py
@@ -0,0 +1,77 @@
+"""How the driver sees the two sides of a transaction, whatever protocol they speak."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+
+from scaledeal import interface as api
+
+
+class Ask(msgspec.Struct, frozen=True):
+    """What a user agent asks for; ``deadline`` is a moment on the driver's clock."""
+
+    request_class: int
+    deadline: int
+    key: str = ""
+    group: str = ""
+    tenant: int = 0
+    returning: bool = False
+    load_hint: float = 0.0  # microseconds of work a second
+    standing_at: str = ""  # the application server at which the connection stood before the start
+
+
+class PassEvents(Protocol):
+    """Who hears of a proxy pass."""
+
+    def established(self) -> None:
+        """Hear that the connection stands."""
+
+    def noted(self, kind: api.NoteKind, amount: float) -> None:
+        """Hear news of the connection."""
+
+    def over(self, result: api.Result, report: tuple[float, ...], broke: bool) -> None:
+        """Hear, once, how the pass ended; its connection is closed by then, unless it stood."""
+
+
+class Pass(Protocol):
+    """One attempt at an application server."""
+
+    def give_up(self) -> None:
+        """Stop waiting before the connection stands."""
+
+    def withdraw(self) -> None:
+        """Give up what has not been sent yet: the application server wants nothing new."""
+
+    def leave(self, broke: bool) -> None:
+        """End a connection that stands: the user agent's side is over."""
+
+    def silent_since(self) -> int:
+        """Return since when a message has waited for its answer, or 0."""
+
+
+class Agent(Protocol):
+    """A user agent that asked for something."""
+
+    def begin_pass(self, address: str, wait: int, events: PassEvents) -> Pass:
+        """Start one attempt that may wait so many nanoseconds for its answer."""
+
+    def refuse(self, retry_after: int) -> None:
+        """Answer that trying again is harmless, and close."""
+
+    def fail(self) -> None:
+        """Answer that it failed, and close."""
+
+    def move(self) -> None:
+        """Tell the client to come again, and close."""
+
+    def ended(self, broke: bool) -> None:
+        """Close as the application server's side did."""
+
+
+class Prober(Protocol):
+    """Who probes application servers."""
+
+    def probe(self, server: str, address: str) -> None:
+        """Probe once; exactly one result is reported."""
--- /dev/null
+++ b/scaledeal/net/transaction.py
@@ -0,0 +1,184 @@
+"""One request of a user agent, from its arrival until nothing of it is left.
+
+It owns the current proxy pass and the timer of the final answer, and gives exactly one final answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+from scaledeal import interface as api
+from scaledeal.net.ports import Timer
+from scaledeal.net.sides import Agent, Ask, Pass
+
+SLACK = 10_000_000  # ns after the deadline at which a request that nobody answered is answered here
+
+
+class State(Enum):
+    """Where a transaction stands."""
+
+    WAITING = 1  # an answer is owed
+    STANDING = 2  # served: lines pass both ways
+    OVER = 3  # answered, moved or left; a pass may still be closing
+
+
+class Desk(Protocol):
+    """What a transaction needs of the driver."""
+
+    draining: bool
+
+    def now(self) -> int:
+        """Return the time."""
+
+    def later(self, delay: int, call: Callable[[], None]) -> Timer:
+        """Call after so many nanoseconds."""
+
+    def post(self, event: api.Event) -> None:
+        """Tell the decision module."""
+
+    def forget(self, transaction: Transaction) -> None:
+        """Take it off the table."""
+
+    def overdue(self, transaction: Transaction) -> None:
+        """Hear that the decision module left it unanswered."""
+
+
+class Transaction:
+    """The states of one request; the decision module's actions and both sides' news change them."""
+
+    def __init__(self, desk: Desk, handle: str, ask: Ask, agent: Agent) -> None:
+        self.desk = desk
+        self.handle = handle
+        self.ask = ask
+        self.agent = agent
+        self.state = State.WAITING
+        self.passes = 0
+        self.current: Pass | None = None
+        self.server = ""
+        self.began = 0
+        self.timer: Timer | None = desk.later(max(0, ask.deadline - desk.now()) + SLACK, self._answer_owed)
+
+    # The decision module's actions
+
+    def send(self, server: str, address: str, timeout: int) -> None:
+        """Begin a proxy pass, unless the request is over or its time is up."""
+        number, self.passes = self.passes, self.passes + 1
+        self.server, self.began = server, self.desk.now()
+        left = self.ask.deadline - self.began
+        if self.state is not State.WAITING or self.current is not None or left <= 0:
+            self._outcome(number, api.Result.NOT_SENT, ())
+        elif not address:
+            self._outcome(number, api.Result.CONNECT_FAILED, ())
+        else:
+            self.current = self.agent.begin_pass(address, min(timeout or left, left), self)
+
+    def refuse(self, retry_after: int) -> None:
+        """Answer: refused."""
+        if self._answered():
+            self.agent.refuse(retry_after)
+
+    def fail(self) -> None:
+        """Answer: failed."""
+        if self._answered():
+            self.agent.fail()
+
+    def cancel(self, number: int) -> None:
+        """Give up the pass of this number, if it is still out and does not stand."""
+        if self.current is not None and number == self.passes - 1 and self.state is not State.STANDING:
+            self.current.give_up()
+
+    def move(self) -> None:
+        """End a connection that stands politely."""
+        if self.state is State.STANDING and self.current is not None:
+            self.state = State.OVER
+            self.agent.move()
+            self.current.leave(False)
+
+    # News of the pass
+
+    def established(self) -> None:
+        """Hear that the connection stands."""
+        self.state = State.STANDING
+        self._stop_timer()
+        ask = self.ask
+        if ask.standing_at:
+            self.desk.post(api.OpenConnection(self.handle, ask.request_class, self.server, ask.key, ask.group,
+                                              ask.tenant, ask.load_hint))
+        else:
+            elapsed = self.desk.now() - self.began
+            self.desk.post(api.Established(self.handle, self.passes - 1, self.server, elapsed))
+        if self.desk.draining:
+            self.move()
+
+    def noted(self, kind: api.NoteKind, amount: float) -> None:
+        """Pass on news of the connection."""
+        self.desk.post(api.Note(self.handle, self.passes - 1, self.server, kind, amount))
+
+    def over(self, result: api.Result, report: tuple[float, ...], broke: bool) -> None:
+        """Hear how the pass ended."""
+        self.current = None
+        stood = self.state is State.STANDING
+        if stood or (result is api.Result.OK and self.state is State.WAITING):
+            self.state = State.OVER
+            self._stop_timer()
+            self.agent.ended(broke)
+        elif self.ask.standing_at and self.state is State.WAITING:
+            self.fail()
+            return
+        self._outcome(self.passes - 1, result, report)
+
+    # News of the user agent
+
+    def gone(self, broke: bool) -> None:
+        """Hear that the client left."""
+        if self.state is State.STANDING:
+            self.state = State.OVER
+            if self.current is not None:
+                self.current.leave(broke)
+        elif self.state is State.WAITING:
+            self.state = State.OVER
+            self._stop_timer()
+            if self.ask.standing_at:
+                self.cancel(self.passes - 1)
+            self.desk.post(api.ClientGone(self.handle))
+            self._forget_if_over()
+
+    # Inside
+
+    def _answered(self) -> bool:
+        """Tell whether the final answer may be given now; from here on it counts as given."""
+        if self.state is not State.WAITING:
+            return False
+        self.state = State.OVER
+        self._stop_timer()
+        if self.current is not None:
+            self.current.give_up()
+        self._forget_if_over()
+        return True
+
+    def _answer_owed(self) -> None:
+        """Answer a request that was held past its time: an answer is owed whatever the module does."""
+        self.timer = None
+        if self._answered():
+            self.desk.overdue(self)
+            self.agent.fail()
+            self.desk.post(api.ClientGone(self.handle))
+
+    def _outcome(self, number: int, result: api.Result, report: tuple[float, ...]) -> None:
+        last = self.state is State.OVER
+        self._forget_if_over()
+        if self.ask.standing_at and self.passes and not number and result is api.Result.NOT_SENT:
+            return
+        elapsed = self.desk.now() - self.began
+        self.desk.post(api.Outcome(self.handle, number, self.server, result, elapsed, last, report))
+
+    def _forget_if_over(self) -> None:
+        if self.state is State.OVER and self.current is None:
+            self.desk.forget(self)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
--- a/brookpick/policy.py
+++ b/scaledeal/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of the balancer. Its types, events and actions: ``brookpick/interface.py``.
+"""Every decision of the balancer. Its types, events and actions: ``scaledeal/interface.py``.
 
 The ordinary path: a *ladder* of filters admits or refuses a new connection, then *placement* takes one of
 the top two ready servers of its rendezvous ranking. Around it stand *membership*, *health*, the *cold-start
@@ -15,7 +15,7 @@
 from itertools import islice
 from typing import Any
 
-from brookpick import interface as api
+from scaledeal import interface as api
 
 MS = 1_000_000
 SECOND = 1000 * MS
--- /dev/null
+++ b/scaledeal/settings.py
@@ -0,0 +1,171 @@
+"""The settings as the operators write them, and what the decision module reads of them.
+
+The adapter gets them as path=value words, the relay as nested JSON, under the same names and in the same
+units. Both decode into ``Document``. Unknown keys are skipped; a bad value raises ``ValueError`` with its
+path.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Literal
+
+import msgspec
+
+from scaledeal import interface as api
+
+_SEMANTICS = {"repeatable": api.Semantics.REPEATABLE, "by_key": api.Semantics.KEYED,
+              "once": api.Semantics.ONCE}
+_SOURCES = {"answers": api.Source.ANSWERS, "probe": api.Source.PROBES, "none": api.Source.NONE}
+_FIELDS = {"x0": api.Field.UTILISATION, "busy": api.Field.BUSY, "rif": api.Field.INFLIGHT}
+_LISTS = frozenset({"Report.Fields", "Specifics.MessageAim", "Specifics.TenantQuotaConnections",
+                    "FailureDomains"})
+
+
+class _Section(msgspec.Struct, rename="pascal", frozen=True):
+    """One object of the settings; durations are nanoseconds, and whole numbers may come as decimals."""
+
+
+class ClassEntry(_Section, frozen=True):
+    """One class of requests."""
+
+    name: str = ""
+    aim: float = 0.0
+    deadline: float = 0.0
+    worth: float = 1.0
+    semantics: Literal["repeatable", "by_key", "once"] = "once"
+    key_scope: Literal["all", "zone", "cell"] = "cell"
+    window: float = 0.0
+
+
+class Account(_Section, frozen=True):
+    """One tenant."""
+
+    name: str = ""
+    allowance_per_s: float = 0.0
+
+
+class Caps(_Section, frozen=True):
+    """What the site allows."""
+
+    max_attempts: float = 1.0
+    probing: bool = False
+    cancelling: bool = False
+    retry_after: bool = False
+    max_retry_after: float = 0.0
+    dial_timeout: float = 250e6
+    idle_close: float = 5e9
+
+
+class Prices(_Section, frozen=True):
+    """What costs points."""
+
+    moves: float = 0.0
+    probe: float = 0.0
+    cross_zone: float = 0.0
+
+
+class Report(_Section, frozen=True):
+    """What load reports hold and where they come from."""
+
+    fields: tuple[str, ...] = ()
+    via: Literal["answers", "probe", "none"] = "none"
+
+
+class Rules(_Section, frozen=True):
+    """The figures of the rules."""
+
+    cold_from: float = 1.0
+    warm_after: float = 0.0
+    overload_factor: float = 1.0
+    fall: float = 0.0
+    answer_slack: float = 0.0
+
+
+class Specifics(_Section, frozen=True):
+    """Facts about this kind of service."""
+
+    groups: bool = False
+    message_aim: tuple[float | None, ...] = ()
+    tenant_quota_connections: tuple[float | None, ...] = ()
+
+
+class Document(_Section, frozen=True):
+    """The settings that anything here reads."""
+
+    classes: tuple[ClassEntry, ...] = ()
+    accounts: tuple[Account, ...] = ()
+    siblings: float = 1.0
+    zone: float = 0.0
+    discovery: str = ""
+    failure_domains: tuple[str, ...] = ()
+    weights: str = ""
+    over_share_worth: float = 1.0
+    granularity: float = 1e6
+    caps: Caps = Caps()
+    prices: Prices = Prices()
+    report: Report = Report()
+    rules: Rules = Rules()
+    specifics: Specifics = Specifics()
+
+    def settings(self) -> api.Settings:
+        """Return what the decision module is told; raise ValueError where it can't work with that."""
+        return api.Settings(
+            classes=tuple(self._class(i, entry) for i, entry in enumerate(self.classes)),
+            tenants=tuple(api.Tenant(entry.allowance_per_s, _at(self.specifics.tenant_quota_connections, i))
+                          for i, entry in enumerate(self.accounts)),
+            siblings=int(self.siblings),
+            zone=int(self.zone),
+            ask_discovery=self.discovery == "on_request",
+            max_attempts=int(self.caps.max_attempts),
+            may_probe=self.caps.probing,
+            may_cancel=self.caps.cancelling,
+            retry_after_max=int(self.caps.max_retry_after) if self.caps.retry_after else 0,
+            report_fields=tuple(_FIELDS.get(word, api.Field.OTHER) for word in self.report.fields),
+            report_source=_SOURCES[self.report.via],
+            groups=self.specifics.groups,
+            fixed_weights=self.weights in ("nominal", "rough"),
+            over_share_worth=self.over_share_worth,
+            move_price=self.prices.moves,
+            probe_price=self.prices.probe,
+            zone_price=self.prices.cross_zone,
+            cold_share=self.rules.cold_from,
+            warm_after=int(self.rules.warm_after),
+            overload_factor=self.rules.overload_factor,
+            overload_window=int(self.rules.fall),
+            granularity=int(self.granularity),
+        )
+
+    def _class(self, number: int, entry: ClassEntry) -> api.RequestClass:
+        return api.RequestClass(
+            aim=int(entry.aim),
+            deadline=int(entry.deadline),
+            worth=entry.worth,
+            semantics=_SEMANTICS[entry.semantics],
+            scope=api.Scope(entry.key_scope),
+            window=int(entry.window),
+            message_aim=int(_at(self.specifics.message_aim, number)),
+        )
+
+
+def _at(values: tuple[float | None, ...], number: int) -> float:
+    return (values[number] or 0.0) if number < len(values) else 0.0
+
+
+def from_pairs(pairs: dict[str, str]) -> Document:
+    """Decode the settings from path=value words; an empty value counts as absent."""
+    tree: dict[str, Any] = {}
+    for path, value in pairs.items():
+        if not value:
+            continue
+        *parents, leaf = path.split(".")
+        at = tree
+        for part in parents:
+            inner = at.setdefault(part, {})
+            if not isinstance(inner, dict):
+                raise ValueError(f"{path}: {part} is a value elsewhere")
+            at = inner
+        at[leaf] = [None if v == "null" else v for v in value.split(",")] if path in _LISTS else value
+    for name in ("Classes", "Accounts"):
+        if isinstance(listed := tree.get(name), dict):
+            tree[name] = [listed.get(str(i), {}) for i in range(int(listed.get("count", 0)))]
+    return msgspec.convert(tree, Document, strict=False)
--- a/brookpick/wirehost.py
+++ b/scaledeal/wirehost.py
@@ -12,12 +12,10 @@
 from collections.abc import Callable, Iterator
 from typing import TextIO, TypeVar
 
-from brookpick import interface as api
-from brookpick.policy import Balancer
+from scaledeal import interface as api
+from scaledeal.policy import Balancer
+from scaledeal.settings import from_pairs
 
-_SEMANTICS = {"repeatable": api.Semantics.REPEATABLE, "by_key": api.Semantics.KEYED,
-              "once": api.Semantics.ONCE}
-_SOURCES = {"answers": api.Source.ANSWERS, "probe": api.Source.PROBES, "none": api.Source.NONE}
 _STATES = {"live": api.ServerState.LIVE, "quiescing": api.ServerState.DRAINING, "dead": api.ServerState.GONE}
 _KINDS = {"incr": api.MembershipKind.CHANGES, "total": api.MembershipKind.FULL,
           "warm_copy": api.MembershipKind.INITIAL, "lost": api.MembershipKind.LOST}
@@ -25,7 +23,6 @@
             "etimedout": api.Result.TIMEOUT, "econnrefused": api.Result.CONNECT_FAILED,
             "econnreset": api.Result.RESET, "ecanceled": api.Result.CANCELLED, "skipped": api.Result.NOT_SENT}
 _NOTES = {"1": api.NoteKind.LOAD, "2": api.NoteKind.DELAY}
-_FIELDS = {"x0": api.Field.UTILISATION, "busy": api.Field.BUSY, "rif": api.Field.INFLIGHT}
 _MID_FLOW, _RETURNING = 8, 16
 
 
@@ -86,93 +83,19 @@
             raise WireError(f"{self.name}: field {field} holds no numbers: {value!r}") from None
 
 
-class _Pairs:
-    """The settings of a ``HELLO`` line; unknown keys are skipped, absent ones mean absent."""
-
-    def __init__(self, words: list[str]) -> None:
-        self.values: dict[str, str] = {}
-        for word in words:
-            path, equals, value = word.partition("=")
-            if not equals:
-                raise WireError(f"HELLO: setting without a value: {word!r}")
-            self.values[path] = value
-
-    def number(self, path: str, absent: float) -> float:
-        value = self.values.get(path, "")
-        try:
-            return float(value) if value else absent
-        except ValueError:
-            raise WireError(f"HELLO: setting {path} is no number: {value!r}") from None
-
-    def whole(self, path: str, absent: int) -> int:
-        return int(self.number(path, absent))
-
-    def flag(self, path: str) -> bool:
-        return self.values.get(path, "").lower() in ("true", "1")
-
-    def words(self, path: str) -> list[str]:
-        return [word for word in self.values.get(path, "").split(",") if word]
-
-    def numbers(self, path: str) -> list[float]:
-        try:
-            return [0.0 if word == "null" else float(word) for word in self.words(path)]
-        except ValueError:
-            raise WireError(f"HELLO: setting {path} holds no numbers: {self.values[path]!r}") from None
-
-    def choice(self, path: str, table: dict[str, T], absent: T) -> T:
-        value = self.values.get(path, "")
-        return _choice(table, value, f"HELLO: setting {path}") if value else absent
-
-
 def read_settings(words: list[str]) -> api.Settings:
     """Build the library's settings from the wire's path=value pairs."""
-    pairs = _Pairs(words)
-    scopes = {scope.value: scope for scope in api.Scope}
-    aims = pairs.numbers("Specifics.MessageAim")
-    quotas = pairs.numbers("Specifics.TenantQuotaConnections")
-    classes = []
-    for i in range(pairs.whole("Classes.count", 0)):
-        at = f"Classes.{i}."
-        classes.append(api.RequestClass(
-            aim=pairs.whole(at + "Aim", 0),
-            deadline=pairs.whole(at + "Deadline", 0),
-            worth=pairs.number(at + "Worth", 1.0),
-            semantics=pairs.choice(at + "Semantics", _SEMANTICS, api.Semantics.ONCE),
-            scope=pairs.choice(at + "KeyScope", scopes, api.Scope.CELL),
-            window=pairs.whole(at + "Window", 0),
-            message_aim=int(aims[i]) if i < len(aims) else 0,
-        ))
-    tenants = [
-        api.Tenant(
-            set_ups_per_s=pairs.number(f"Accounts.{i}.AllowancePerS", 0.0),
-            open_connections=quotas[i] if i < len(quotas) else 0.0,
-        )
-        for i in range(pairs.whole("Accounts.count", 0))
-    ]
-    return api.Settings(
-        classes=tuple(classes),
-        tenants=tuple(tenants),
-        siblings=pairs.whole("Siblings", 1),
-        zone=pairs.whole("Zone", 0),
-        ask_discovery=pairs.values.get("Discovery") == "on_request",
-        max_attempts=pairs.whole("Caps.MaxAttempts", 1),
-        may_probe=pairs.flag("Caps.Probing"),
-        may_cancel=pairs.flag("Caps.Cancelling"),
-        retry_after_max=pairs.whole("Caps.MaxRetryAfter", 0) if pairs.flag("Caps.RetryAfter") else 0,
-        report_fields=tuple(_FIELDS.get(word, api.Field.OTHER) for word in pairs.words("Report.Fields")),
-        report_source=pairs.choice("Report.Via", _SOURCES, api.Source.NONE),
-        groups=pairs.flag("Specifics.Groups"),
-        fixed_weights=pairs.values.get("Weights") in ("nominal", "rough"),
-        over_share_worth=pairs.number("OverShareWorth", 1.0),
-        move_price=pairs.number("Prices.Moves", 0.0),
-        probe_price=pairs.number("Prices.Probe", 0.0),
-        zone_price=pairs.number("Prices.CrossZone", 0.0),
-        cold_share=pairs.number("Rules.ColdFrom", 1.0),
-        warm_after=pairs.whole("Rules.WarmAfter", 0),
-        overload_factor=pairs.number("Rules.OverloadFactor", 1.0),
-        overload_window=pairs.whole("Rules.Fall", 0),
-        granularity=pairs.whole("Granularity", 1_000_000),
-    )
+    pairs: dict[str, str] = {}
+    for word in words:
+        path, equals, value = word.partition("=")
+        if not equals:
+            raise WireError(f"HELLO: setting without a value: {word!r}")
+        pairs[path] = value
+    try:
+        document = from_pairs(pairs)
+    except ValueError as error:
+        raise WireError(f"HELLO: setting {error}") from None
+    return document.settings()
 
 
 def _hint(row: _Row, options: int, at: int) -> float:
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field, replace
 
-from brookpick import interface as api
-from brookpick.policy import Balancer
+from scaledeal import interface as api
+from scaledeal.policy import Balancer
 
 MS = 1_000_000
 SECOND = 1000 * MS
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -9,8 +9,8 @@
 import pytest
 from driver import BASE, MS, SECOND, Driver, entries
 
-from brookpick import interface as api
-from brookpick.policy import Balancer, Server, digest, rendezvous
+from scaledeal import interface as api
+from scaledeal.policy import Balancer, Server, digest, rendezvous
 
 REPORTS = replace(BASE, may_probe=True, report_source=api.Source.PROBES, groups=True,
                   report_fields=(api.Field.UTILISATION, api.Field.INFLIGHT))
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -2,7 +2,7 @@
 
 from driver import SECOND
 
-from brookpick.policy import OVERLOAD, RUNGS, UNDERLOAD, Ladder
+from scaledeal.policy import OVERLOAD, RUNGS, UNDERLOAD, Ladder
 
 HIGH, LOW = (0, False), (1, False)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from brookpick import interface as api
+from scaledeal import interface as api
 
 RESULTS = [r for r in api.Result if r is not api.Result.OK]
 STEPS = ["arrive", "arrive", "arrive", "establish", "end", "wait", "leave", "list", "note", "probe"]
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from brookpick import interface as api
-from brookpick.policy import Balancer
-from brookpick.wirehost import Host, WireError, read_settings
+from scaledeal import interface as api
+from scaledeal.policy import Balancer
+from scaledeal.wirehost import Host, WireError, read_settings
 
 HELLO = ("HELLO 7 Classes.count=1 Classes.0.Aim=300000000 Classes.0.Deadline=2000000000 Classes.0.Worth=2.0 "
          "Classes.0.Semantics=by_key Classes.0.KeyScope=zone Classes.0.Window=5000000000 Caps.MaxAttempts=3 "
@@ -77,7 +77,7 @@
 
 
 def test_the_process_ends_with_a_plain_message():
-    call = [sys.executable, "-m", "brookpick.wirehost"]
+    call = [sys.executable, "-m", "scaledeal.wirehost"]
     run = subprocess.run(call, input="FRAME 1\nTO 1\nODD\nEOF_BATCH\n", capture_output=True, text=True,
                          cwd=Path(__file__).parent.parent)
     assert run.returncode != 0
