Tell the module of slow and silent connections as the simulator does

Cause of the change: every answered message became a DELAY note, where the simulator tells one a second for each server and only past a third of the shortest aim; and a connection whose server went silent was never ended, where the protocol gives 7 s. Done: net/delays.py decides which times are news; connections that stand are looked at twice a second by one timer; 6 s without any answer breaks a connection off. Ruled out: a timer for each line, for the cost on one core.

--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -12,13 +12,16 @@
 from typing import Any
 
 from scaledeal import interface as api
+from scaledeal.net.delays import Delays
 from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.sides import Agent, Ask, Prober
-from scaledeal.net.transaction import Transaction
+from scaledeal.net.transaction import State, Transaction
 from scaledeal.policy import Balancer
 
 log = logging.getLogger("scaledeal.driver")
 
+LOOK = 500_000_000  # ns between two looks at the connections that stand
+
 
 class Driver:
     """Owns the balancer, the clock, its timers and the table of transactions."""
@@ -30,6 +33,7 @@
         self.balancer = Balancer(settings, seed)
         self.transactions: dict[str, Transaction] = {}
         self.addresses: dict[str, str] = {}  # where each application server was last said to be
+        self.delays = Delays(tuple(each.message_aim for each in settings.classes), self.now)
         self.draining = False  # this relay is to stop: whatever stands is moved
         self.prober: Prober | None = None
         self.watch: Callable[[], None] = lambda: None
@@ -107,6 +111,18 @@
         log.warning("request of class %d answered at its deadline: the module held it",
                     transaction.ask.request_class)
 
+    def silent(self, transaction: Transaction) -> None:
+        """Note that an application server has returned nothing for too long."""
+        log.warning("server %s returns nothing on an open connection: broken off", transaction.server)
+
+    def look_round(self) -> None:
+        """Look at every connection that stands: no timer is set for a single line."""
+        self.later(LOOK, self.look_round)
+        now = self.now()
+        for transaction in list(self.transactions.values()):
+            if transaction.state is State.STANDING:
+                transaction.look(now)
+
     def _resume(self, transaction: Transaction) -> None:
         """Connect to where a connection stood before the start; no decision is due for that."""
         server = transaction.ask.standing_at
--- a/scaledeal/net/proxy_pass.py
+++ b/scaledeal/net/proxy_pass.py
@@ -109,7 +109,7 @@
     def break_off(self) -> None:
         """Take a connection that returns nothing as broken."""
         if self.stage is Stage.STANDING:
-            self._stop(api.Result.TIMEOUT)
+            self._stop(api.Result.RESET)
 
     # What the user agent's side calls
 
@@ -147,7 +147,8 @@
         if self.stage is Stage.CONNECTING or self.stage is Stage.SENDING:
             self._over(api.Result.CONNECT_FAILED, broke)
         elif self.stage is Stage.ENDING:
-            self._over(self.result or api.Result.RESET, broke)
+            # Guards against a last word that the client never reads: resets are passed on, partings are not.
+            self._over(self.result or api.Result.RESET, False)
         else:
             self._over(self.last_word, broke)
 
@@ -184,7 +185,7 @@
         if self.asked_at:
             took = self.trade.now() - self.asked_at
             self.asked_at = 0
-            self.events.noted(api.NoteKind.DELAY, took / wording.MS)
+            self.events.message_took(took)
         self.last_word = _ENDINGS.get(word, api.Result.RESET)
         if word in (wording.BYE, wording.MOVE):
             self.report = self.trade.read_report(line)
@@ -193,7 +194,7 @@
 
     def _load(self, line: bytes) -> None:
         amount = wording.number(line.partition(b" ")[2].decode("ascii", "replace"))
-        self.events.noted(api.NoteKind.LOAD, amount)
+        self.events.load_is(amount)
 
     def _timed_out(self) -> None:
         # Guards against a connection that never came up counting as one that may have run.
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -61,6 +61,7 @@
     def start(self) -> None:
         """Take the list as last held, then listen."""
         self.farm.start_with(self.config.known)
+        self.driver.look_round()
         listen = self.config.listen
         self.port = self.reactor.listenTCP(listen.port, self.door, BACKLOG, listen.host)
         log.info("relay %s listens on %s:%d, %d application servers known", self.config.name, listen.host,
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -28,8 +28,11 @@
     def established(self) -> None:
         """Hear that the connection stands."""
 
-    def noted(self, kind: api.NoteKind, amount: float) -> None:
-        """Hear news of the connection."""
+    def load_is(self, amount: float) -> None:
+        """Hear the connection's load, in microseconds of work a second."""
+
+    def message_took(self, took: int) -> None:
+        """Hear how many nanoseconds passed between a message and its answer."""
 
     def over(self, result: api.Result, report: tuple[float, ...], broke: bool) -> None:
         """Hear, once, how the pass ended; its connection is closed by then, unless it stood."""
@@ -50,6 +53,9 @@
     def silent_since(self) -> int:
         """Return since when a message has waited for its answer, or 0."""
 
+    def break_off(self) -> None:
+        """Take a connection that returns nothing as broken."""
+
 
 class Agent(Protocol):
     """A user agent that asked for something."""
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -10,9 +10,13 @@
 from typing import Protocol
 
 from scaledeal import interface as api
+from scaledeal.net.delays import Delays
 from scaledeal.net.ports import Timer
 from scaledeal.net.sides import Agent, Ask, Pass
 
+MS = 1_000_000
+UNANSWERED = 1000 * MS  # a message without an answer for so long is news before its answer comes
+SILENT = 6000 * MS  # a connection that returns nothing for so long is taken as broken; 7 s are allowed
 SLACK = 10_000_000  # ns after the deadline at which a request that nobody answered is answered here
 
 
@@ -28,6 +32,7 @@
     """What a transaction needs of the driver."""
 
     draining: bool
+    delays: Delays
 
     def now(self) -> int:
         """Return the time."""
@@ -44,6 +49,9 @@
     def overdue(self, transaction: Transaction) -> None:
         """Hear that the decision module left it unanswered."""
 
+    def silent(self, transaction: Transaction) -> None:
+        """Hear that its application server has returned nothing for too long."""
+
 
 class Transaction:
     """The states of one request; the decision module's actions and both sides' news change them."""
@@ -112,8 +120,27 @@
         if self.desk.draining:
             self.move()
 
-    def noted(self, kind: api.NoteKind, amount: float) -> None:
-        """Pass on news of the connection."""
+    def load_is(self, amount: float) -> None:
+        """Pass on the connection's load."""
+        self._note(api.NoteKind.LOAD, amount)
+
+    def message_took(self, took: int) -> None:
+        """Pass on how long a message took, where that is news."""
+        if self.desk.delays.news(self.server, took):
+            self._note(api.NoteKind.DELAY, took / MS)
+
+    def look(self, now: int) -> None:
+        """Look at a connection that stands: one that returns nothing is told, and in the end broken off."""
+        since = self.current.silent_since() if self.current is not None else 0
+        if not since or self.current is None:
+            return
+        if now - since >= SILENT:
+            self.desk.silent(self)
+            self.current.break_off()
+        elif now - since >= UNANSWERED:
+            self.message_took(now - since)
+
+    def _note(self, kind: api.NoteKind, amount: float) -> None:
         self.desk.post(api.Note(self.handle, self.passes - 1, self.server, kind, amount))
 
     def over(self, result: api.Result, report: tuple[float, ...], broke: bool) -> None:
