Pass a client's half-close on, and test the relay by a model and over sockets

Seen: an integration test showed that a client that ended its sending lost its server's last lines. Cause: UserAgent.sending_ended closed the pass at once; now the pass ends its own sending and relays on until the server ends, 0.9 s at most. Also: the last call after SIGTERM follows the longest deadline, and a relay told to listen on port 0 logs the port it took. Checked: a random-step model of one request (states of both sides, one answer, one attempt, nothing left) and the program itself over loopback sockets: PING, d rewritten, LOAD, BYE, half-close, resets, at=ID, the watch, 503, drains, SIGTERM, bad starts.

--- a/scaledeal/net/ports.py
+++ b/scaledeal/net/ports.py
@@ -19,6 +19,9 @@
 class Port(Protocol):
     """A listening socket."""
 
+    def getHost(self) -> Any:  # noqa: N802
+        """Return the address, with the port in fact taken."""
+
     def stopListening(self) -> object:  # noqa: N802
         """Close it."""
 
--- a/scaledeal/net/proxy_pass.py
+++ b/scaledeal/net/proxy_pass.py
@@ -72,6 +72,7 @@
         self.report: tuple[float, ...] = ()
         self.last_word = api.Result.RESET  # how the connection ended, if it ended now
         self.asked_at = 0  # when the oldest line without an answer was passed on
+        self.parting = False  # the client has ended its sending
         self.connector: Connector | None = None
         self.timer: Timer | None = None
 
@@ -102,6 +103,15 @@
         else:
             self.link.end()
 
+    def client_ended_sending(self) -> None:
+        """End the sending as the client did; what the application server still says passes for a while."""
+        if self.stage is Stage.STANDING:
+            self.last_word = api.Result.CANCELLED
+            self.parting = True
+            self.link.end_sending()
+            self._stop_timer()
+            self.timer = self.trade.reactor.callLater(HALF_CLOSED, self._stop, api.Result.CANCELLED)
+
     def silent_since(self) -> int:
         """Return since when a message has waited for its answer, or 0."""
         return self.asked_at if self.stage is Stage.STANDING else 0
@@ -115,7 +125,7 @@
 
     def message(self, line: bytes) -> None:
         """Pass a client's line on."""
-        if self.stage is Stage.STANDING:
+        if self.stage is Stage.STANDING and not self.parting:
             self.asked_at = self.asked_at or self.trade.now()
             self.link.send(line)
 
@@ -186,7 +196,7 @@
             took = self.trade.now() - self.asked_at
             self.asked_at = 0
             self.events.message_took(took)
-        self.last_word = _ENDINGS.get(word, api.Result.RESET)
+        self.last_word = _ENDINGS.get(word, api.Result.CANCELLED if self.parting else api.Result.RESET)
         if word in (wording.BYE, wording.MOVE):
             self.report = self.trade.read_report(line)
             self.stage, self.result = Stage.ENDING, self.last_word
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -25,7 +25,8 @@
 BACKLOG = 1024
 STILL_ARRIVING = 0.5  # seconds after SIGTERM during which the front may still send new connections
 SPREAD = 1.5  # seconds over which the standing clients are then moved
-LAST_CALL = 3.4  # seconds after SIGTERM at which whatever is left is ended; the kill comes at 3.7 or later
+LEAST_DEADLINE = 3.0  # seconds; SIGKILL follows SIGTERM by the longest deadline, or this, plus 0.7 or more
+LAST_CALL = 0.45  # seconds after that deadline at which whatever is left is ended
 
 
 class Door(ServerFactory):
@@ -65,7 +66,7 @@
         listen = self.config.listen
         self.port = self.reactor.listenTCP(listen.port, self.door, BACKLOG, listen.host)
         log.info("relay %s listens on %s:%d, %d application servers known", self.config.name, listen.host,
-                 listen.port, len(self.config.known.endpoints))
+                 self.port.getHost().port, len(self.config.known.endpoints))
 
     # The end
 
@@ -74,7 +75,8 @@
         if not self.driver.draining:
             log.info("told to stop: %d requests and connections to finish", len(self.driver.transactions))
             self.reactor.callLater(STILL_ARRIVING, self._move_all)
-            self.reactor.callLater(LAST_CALL, self._last_call)
+            longest = max(each.deadline / 1e9 for each in self.config.settings.classes)
+            self.reactor.callLater(max(longest, LEAST_DEADLINE) + LAST_CALL, self._last_call)
 
     def _move_all(self) -> None:
         # From here on whatever comes up is moved at once.
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -50,6 +50,9 @@
     def leave(self, broke: bool) -> None:
         """End a connection that stands: the user agent's side is over."""
 
+    def client_ended_sending(self) -> None:
+        """End the sending of a connection that stands, as the client did."""
+
     def silent_since(self) -> int:
         """Return since when a message has waited for its answer, or 0."""
 
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -172,6 +172,13 @@
             self.desk.post(api.ClientGone(self.handle))
             self._forget_if_over()
 
+    def sending_ended(self) -> None:
+        """Hear that the client ended its sending: before an answer that means that it left."""
+        if self.state is State.STANDING and self.current is not None:
+            self.current.client_ended_sending()
+        else:
+            self.gone(False)
+
     # Inside
 
     def _answered(self) -> bool:
@@ -196,8 +203,6 @@
     def _outcome(self, number: int, result: api.Result, report: tuple[float, ...]) -> None:
         last = self.state is State.OVER
         self._forget_if_over()
-        if self.ask.standing_at and self.passes and not number and result is api.Result.NOT_SENT:
-            return
         elapsed = self.desk.now() - self.began
         self.desk.post(api.Outcome(self.handle, number, self.server, result, elapsed, last, report))
 
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -79,10 +79,9 @@
             self._leave(False)
             self.send(wording.ERR)
             self.end()
-        elif self.stage is Stage.STANDING:
+        elif self.stage is Stage.STANDING and self.transaction is not None:
             # What the application server still has to say passes until it ends its own sending.
-            self.stage = Stage.OVER
-            self._leave(False)
+            self.transaction.sending_ended()
 
     def link_lost(self, broke: bool) -> None:
         """Hear that the connection is over."""
--- /dev/null
+++ b/tests/netfakes.py
@@ -0,0 +1,187 @@
+"""A reactor whose sockets are moved by the test: no time passes and no byte moves by itself."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet import error
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from scaledeal import interface as api
+from scaledeal.net.buffers import BufferPool
+from scaledeal.net.driver import Driver
+from scaledeal.net.health_probe import HealthProbes
+from scaledeal.net.lines import LineLink
+from scaledeal.net.proxy_pass import Trade
+from scaledeal.net.user_agent import Reception, UserAgent
+from scaledeal.net.wording import report_reader
+
+MS = 1_000_000
+CLASSES = (api.RequestClass(aim=300 * MS, deadline=1000 * MS, message_aim=60 * MS),)
+SETTINGS = api.Settings(classes=CLASSES, may_cancel=True, max_attempts=6)
+
+
+class Wire:
+    """A transport; what is written moves only by ``flush``."""
+
+    def __init__(self, clock: Clock, link: LineLink) -> None:
+        self.clock, self.link = clock, link
+        self.queued, self.sent = b"", b""
+        self.fin_sent = self.fin_due = self.closing = self.lost = self.paused = False
+        self.bufferSize = 0
+        self.producer: Any = None
+        self.streaming = True
+        link.makeConnection(self)
+
+    def write(self, data: bytes) -> None:
+        assert not self.lost, "written to a lost connection"
+        if not self.closing and not self.fin_due:
+            self.queued += data
+
+    def flush(self) -> None:
+        if self.lost:
+            return
+        assert not (self.fin_sent and self.queued)
+        self.sent, self.queued = self.sent + self.queued, b""
+        if self.producer is not None and not self.streaming:
+            self.producer.resumeProducing()
+            return
+        self.fin_sent = self.fin_sent or self.fin_due
+        if self.closing:
+            self.lose(error.ConnectionDone())
+
+    def loseConnection(self) -> None:
+        self.closing = True
+
+    def loseWriteConnection(self) -> None:
+        self.fin_due = True
+
+    def abortConnection(self) -> None:
+        self.closing = True
+        self.clock.callLater(0, self.lose, error.ConnectionAborted())
+
+    def pauseProducing(self) -> None:
+        self.paused = True
+
+    def resumeProducing(self) -> None:
+        self.paused = False
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        assert self.producer is None
+        self.producer, self.streaming = producer, streaming
+        if not streaming:
+            producer.resumeProducing()
+
+    def unregisterProducer(self) -> None:
+        self.producer = None
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        assert enabled
+
+    # What the test does to the other end
+
+    def lose(self, why: Exception) -> None:
+        if not self.lost:
+            self.lost = True
+            self.link.connectionLost(Failure(why))
+
+    def receive(self, data: bytes) -> None:
+        if not self.lost and not self.closing:
+            self.link.dataReceived(data)
+
+    def peer_ends(self) -> None:
+        if not self.lost and not self.closing:
+            self.link.readConnectionLost()
+
+    def lines(self) -> list[bytes]:
+        *lines, rest = (self.sent + self.queued).split(b"\r\n")
+        assert rest == b"", "a line was cut"
+        return lines
+
+
+@dataclass
+class Dialled:
+    address: str
+    factory: Any
+    due: Any = None
+    wire: Wire | None = None
+    over: bool = False
+
+    def stopConnecting(self) -> None:
+        self.fail()
+
+    def up(self, clock: Clock) -> Wire:
+        self.over = True
+        self.due.cancel()
+        self.wire = Wire(clock, self.factory.buildProtocol(None))
+        return self.wire
+
+    def fail(self) -> None:
+        if not self.over:
+            self.over = True
+            if self.due.active():
+                self.due.cancel()
+            self.factory.clientConnectionFailed(self, Failure(error.ConnectError()))
+
+
+class FakeReactor(Clock):
+    def __init__(self) -> None:
+        super().__init__()
+        self.dialled: list[Dialled] = []
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> Dialled:
+        made = Dialled(f"{host}:{port}", factory)
+        made.due = self.callLater(timeout, made.fail)
+        self.dialled.append(made)
+        return made
+
+
+@dataclass
+class Scripted:
+    """Stands in for the decision module: keeps its events, does what the test says."""
+
+    seen: list[api.Event] = field(default_factory=list)
+    reply: Callable[[api.Event], list[api.Action]] = lambda event: []
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        self.seen.append(event)
+        return self.reply(event)
+
+    def of(self, kind: type) -> list[Any]:
+        return [event for event in self.seen if type(event) is kind]
+
+
+class Bench:
+    """A driver and its user agents on fakes."""
+
+    def __init__(self) -> None:
+        self.reactor = FakeReactor()
+        self.pool = BufferPool()
+        self.driver = Driver(self.reactor, SETTINGS, 1, lambda: int(self.reactor.seconds() * 1e9))
+        self.module = Scripted()
+        self.driver.balancer = self.module  # type: ignore[assignment]
+        trade = Trade(self.reactor, self.pool, self.driver.now, report_reader(("fail_rate", "rif", "x0")),
+                      250 * MS)
+        self.probes = HealthProbes(trade, 5000 * MS, self.driver.post)
+        self.driver.prober = self.probes
+        self.reception = Reception(trade, {"browse": 0}, self.driver.take)
+        self.list(a="127.0.0.1:1", b="127.0.0.1:2")
+
+    def list(self, state: api.ServerState = api.ServerState.LIVE, **addresses: str) -> None:
+        entries = tuple(api.ServerEntry(name, state) for name in addresses)
+        self.driver.listed(api.Membership(api.MembershipKind.CHANGES, entries), addresses)
+
+    def client(self) -> Wire:
+        return Wire(self.reactor, UserAgent(self.reception))
+
+    def act(self, *actions: api.Action) -> None:
+        """Have the decision module want this now."""
+        self.module.reply = lambda event: list(actions) if isinstance(event, api.Timer) else []
+        self.driver.post(api.Timer(0))
+        self.module.reply = lambda event: []
+
+    def wires(self) -> list[Wire]:
+        return [d.wire for d in self.reactor.dialled if d.wire is not None]
--- /dev/null
+++ b/tests/test_net_model.py
@@ -0,0 +1,307 @@
+"""A model of one request's states, against which random steps of both sides and the module are checked."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from netfakes import Bench, Wire
+from twisted.internet import error
+
+from scaledeal import interface as api
+from scaledeal.net.transaction import SLACK
+
+WAIT_MS = 800
+OPEN = b"OPEN 9b1f 7f3a c=browse,d=%d,g=5c0f,x=1" % WAIT_MS
+FINAL = (b"UP", b"BUSY", b"ERR", b"BYE")
+BEFORE_UP = {b"BYE": api.Result.OK, b"MOVE": api.Result.CANCELLED, b"ERR": api.Result.ERROR,
+             b"BUSY": api.Result.FULL, b"SYNTAX": api.Result.ERROR}
+
+
+class OneRequest(RuleBasedStateMachine):
+    """The client asks, the module sends, the server answers; any of them may do anything at any moment."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.bench = Bench()
+        self.client: Wire | None = None
+        self.client_left = False
+        self.asked_at = 0
+        self.sends = 0
+        self.told: dict[int, api.Result] = {}  # what the model expects of each pass that has ended
+        self.stood = False
+        self.over = False  # nothing more may be answered
+        self.moved = False
+        self.early: list[bytes] = []
+        self.to_server: list[bytes] = []
+        self.to_client: list[bytes] = []
+
+    def now(self) -> int:
+        return self.bench.driver.now()
+
+    def events(self, kind: type) -> list:
+        return self.bench.module.of(kind)
+
+    def handle(self) -> str:
+        return self.events(api.Request)[0].request
+
+    def current(self) -> Wire | None:
+        """Return the connection of the pass that is out, if it stands."""
+        wires = [w for w in self.bench.wires() if not w.lost and not w.closing]
+        return wires[0] if wires else None
+
+    def connecting(self) -> bool:
+        return any(not d.over for d in self.bench.reactor.dialled)
+
+    def out(self) -> bool:
+        return self.sends > len(self.events(api.Outcome))
+
+    def settle(self) -> None:
+        for wire in [*self.bench.wires(), *([self.client] if self.client else [])]:
+            wire.flush()
+        self.bench.reactor.advance(0)
+
+    # The client
+
+    @precondition(lambda self: self.client is None)
+    @rule(cut=st.integers(0, len(OPEN)))
+    def client_asks(self, cut: int) -> None:
+        self.client = self.bench.client()
+        self.client.receive(OPEN[:cut])
+        assert not self.events(api.Request)
+        self.client.receive(OPEN[cut:] + b"\r\n")
+        self.asked_at = self.now()
+        asked = self.events(api.Request)[0]
+        assert (asked.key, asked.group, asked.request_class) == ("7f3a", "5c0f", 0)
+        assert asked.deadline == self.now() + WAIT_MS * 1_000_000
+
+    @precondition(lambda self: self.client is not None and not self.client_left and not self.over)
+    @rule(text=st.sampled_from([b"M 1", b"MOVE", b""]), split=st.booleans())
+    def client_speaks(self, text: bytes, split: bool) -> None:
+        if self.client.paused:
+            return
+        self.client.receive(text[:1] if split else b"")
+        self.client.receive((text[1:] if split else text) + b"\r\n")
+        (self.to_server if self.stood else self.early).append(text)
+
+    @precondition(lambda self: self.client is not None and not self.client_left)
+    @rule(broke=st.booleans())
+    def client_leaves(self, broke: bool) -> None:
+        if self.client.lost or self.client.closing or self.client.fin_due:
+            return
+        self.client_left = True
+        if broke:
+            self.client.lose(error.ConnectionLost())
+        else:
+            self.client.peer_ends()
+        if not self.over:
+            if self.stood:
+                self.told[self.sends - 1] = api.Result.CANCELLED
+                if not broke:
+                    return  # what the server still says passes
+            else:
+                assert [e.request for e in self.events(api.ClientGone)] == [self.handle()]
+        self.over = True
+
+    # The module
+
+    @precondition(lambda self: self.client is not None and not self.over and not self.out())
+    @rule(timeout=st.sampled_from([0, 1, 90, 5000]), server=st.sampled_from(["a", "b", "unknown"]))
+    def module_sends(self, timeout: int, server: str) -> None:
+        assert self.current() is None and not self.connecting(), "a second attempt beside the first"
+        self.bench.act(api.Send(self.handle(), server, timeout * 1_000_000))
+        if server == "unknown" or self.now() >= self.asked_at + WAIT_MS * 1_000_000:
+            late = self.now() >= self.asked_at + WAIT_MS * 1_000_000
+            self.told[self.sends] = api.Result.NOT_SENT if late else api.Result.CONNECT_FAILED
+        self.sends += 1
+
+    @precondition(lambda self: self.client is not None and not self.out())
+    @rule(wait=st.sampled_from([0, 1, 1_500_000]), fail=st.booleans())
+    def module_answers(self, wait: int, fail: bool) -> None:
+        before = len(self.client.lines())
+        self.bench.act(api.Fail(self.handle()) if fail else api.Refuse(self.handle(), wait))
+        if not self.over:
+            told = b"ERR" if fail else {0: b"BUSY", 1: b"BUSY 1", 1_500_000: b"BUSY 2"}[wait]
+            assert self.client.lines()[before:] == [told]
+        else:
+            assert len(self.client.lines()) == before
+        self.over = True
+
+    @precondition(lambda self: self.out())
+    @rule(off=st.integers(0, 1))
+    def module_cancels(self, off: int) -> None:
+        waits = self.out() and not self.stood
+        self.bench.act(api.Cancel(self.handle(), self.sends - 1 - off))
+        if waits and not off:
+            self.told.setdefault(self.sends - 1, api.Result.CANCELLED)
+        self.settle()
+
+    @precondition(lambda self: self.client is not None)
+    @rule()
+    def module_moves(self) -> None:
+        may = self.stood and not self.over
+        self.bench.act(api.Move(self.handle()))
+        if may:
+            self.told[self.sends - 1] = api.Result.CANCELLED
+            self.over = self.moved = True
+            self.to_client.append(b"MOVE")
+
+    @precondition(lambda self: self.connecting())
+    @rule()
+    def list_drains_the_server(self) -> None:
+        self.bench.list(api.ServerState.DRAINING, a="127.0.0.1:1", b="127.0.0.1:2")
+        assert not self.connecting(), "a connect goes on to a server that drains"
+        self.told[self.sends - 1] = api.Result.CONNECT_FAILED
+
+    # The application server
+
+    @precondition(lambda self: self.connecting())
+    @rule(up=st.booleans(), write=st.booleans())
+    def server_takes_the_connection(self, up: bool, write: bool) -> None:
+        dialled = next(d for d in self.bench.reactor.dialled if not d.over)
+        if not up:
+            dialled.fail()
+            self.told.setdefault(self.sends - 1, api.Result.CONNECT_FAILED)
+            return
+        wire = dialled.up(self.bench.reactor)
+        if write:
+            wire.flush()
+            left = (self.asked_at + WAIT_MS * 1_000_000 - self.now()) // 1_000_000
+            head, _, tail = wire.lines()[0].partition(b"d=")
+            assert head == b"OPEN 9b1f 7f3a c=browse,"
+            waits, _, rest = tail.partition(b",")
+            assert rest == b"g=5c0f,x=1" and 1 <= int(waits) <= max(1, left + 250)
+
+    @precondition(lambda self: self.current() is not None)
+    @rule(word=st.sampled_from([b"UP", b"BYE", b"MOVE", b"ERR", b"BUSY", b"SYNTAX", b"LOAD"]),
+          fin=st.booleans())
+    def server_answers(self, word: bytes, fin: bool) -> None:
+        wire = self.current()
+        if not wire.sent:
+            wire.flush()
+        if self.stood:
+            return
+        line = {b"UP": b"UP 77aa", b"LOAD": b"LOAD 12.5"}.get(word, word)
+        notes = len(self.events(api.Note))
+        wire.receive(line + b"\r\n")
+        if word == b"LOAD":
+            assert self.events(api.Note)[notes:][0].amount == 12.5
+        elif word == b"UP" and self.over:
+            raise AssertionError("a pass was still listening after its end")
+        elif word == b"UP":
+            self.stood = True
+            self.to_client.append(line)
+            self.to_server += self.early
+        else:
+            self.told.setdefault(self.sends - 1, BEFORE_UP[word])
+            if word == b"BYE":
+                self.over = True
+                self.to_client.append(line)
+        self.settle()
+        if fin:
+            wire.peer_ends()
+
+    @precondition(lambda self: self.stood and not self.over and self.current() is not None)
+    @rule(line=st.sampled_from([b"M 1", b"LOAD 3", b"BYE", b"MOVE", b"x"]), split=st.booleans())
+    def server_speaks(self, line: bytes, split: bool) -> None:
+        wire = self.current()
+        wire.receive(line[:1] if split else b"")
+        wire.receive((line[1:] if split else line) + b"\r\n")
+        self.to_client.append(line)
+        if line in (b"BYE", b"MOVE"):
+            self.over = True
+            self.told[self.sends - 1] = BEFORE_UP[line]
+            self.settle()
+            assert self.client.fin_sent and not self.client.lost or self.client.lost
+
+    @precondition(lambda self: self.current() is not None)
+    @rule(broke=st.booleans())
+    def server_ends(self, broke: bool) -> None:
+        wire = self.current()
+        ran = bool(wire.sent)
+        if broke:
+            wire.lose(error.ConnectionLost())
+        else:
+            wire.peer_ends()
+            wire.flush()
+            wire.flush()
+        if not self.told.get(self.sends - 1):
+            self.told[self.sends - 1] = api.Result.RESET if ran else api.Result.CONNECT_FAILED
+        self.settle()
+        if self.stood and not self.over:
+            assert self.client.lost if broke else self.client.fin_sent, "not ended the same way"
+            self.over = True
+
+    # Time
+
+    @rule(ms=st.sampled_from([1, 60, 249, 300, 801]))
+    def time_passes(self, ms: int) -> None:
+        self.bench.reactor.advance(ms / 1000)
+        self.settle()
+        for number in range(self.sends):
+            for outcome in self.events(api.Outcome):
+                if outcome.attempt == number and number not in self.told:
+                    assert outcome.result in (api.Result.TIMEOUT, api.Result.CONNECT_FAILED,
+                                              api.Result.CANCELLED)
+                    self.told[number] = outcome.result
+        due = self.asked_at + WAIT_MS * 1_000_000 + SLACK
+        if self.client is not None and not self.stood and self.now() >= due:
+            if not self.over:
+                assert self.client.lines()[-1] == b"ERR", "an answer is owed"
+            self.over = True
+
+    @rule()
+    def everything_is_written(self) -> None:
+        self.settle()
+
+    # What always holds
+
+    @invariant()
+    def one_answer_and_one_attempt(self) -> None:
+        if self.client is None:
+            return
+        lines = self.client.lines()
+        answers = [line for line in lines if line.split(b" ")[0] in FINAL]
+        if not self.stood:
+            assert len(answers) <= 1, "two final answers"
+        else:
+            expected = self.to_client
+            assert lines == expected[:len(lines)], (lines, expected)
+        open_now = [w for w in self.bench.wires() if not w.lost and not w.closing]
+        assert len(open_now) + sum(not d.over for d in self.bench.reactor.dialled) <= 1, "two attempts out"
+
+    @invariant()
+    def every_send_has_one_outcome(self) -> None:
+        outcomes = self.events(api.Outcome)
+        assert [o.attempt for o in outcomes] == list(range(len(outcomes)))
+        for outcome in outcomes:
+            if outcome.attempt in self.told:
+                assert outcome.result is self.told[outcome.attempt], (outcome, self.told)
+        assert len(self.events(api.Established)) == int(self.stood)
+
+    @invariant()
+    def lines_pass_unchanged(self) -> None:
+        if self.stood:
+            sent = self.bench.wires()[-1].lines()[1:]
+            assert sent == self.to_server[:len(sent)]
+
+    def teardown(self) -> None:
+        """Nothing is left of a request that is over: no socket, buffer, timer or entry."""
+        if self.client is not None:
+            if not self.client_left:
+                self.client_leaves(True)
+            self.client.lose(error.ConnectionLost())
+        for dialled in self.bench.reactor.dialled:
+            dialled.fail()
+        for _ in range(40):
+            self.settle()
+            self.bench.reactor.advance(0.1)
+        assert not self.bench.driver.transactions
+        assert self.bench.pool.out == 0
+        assert all(w.lost for w in self.bench.wires())
+        assert len(self.events(api.Outcome)) == self.sends
+        assert self.bench.reactor.getDelayedCalls() == []
+
+
+TestOneRequest = OneRequest.TestCase
+TestOneRequest.settings = settings(max_examples=300, stateful_step_count=30, deadline=None, derandomize=True)
--- /dev/null
+++ b/tests/test_relay_process.py
@@ -0,0 +1,304 @@
+"""The program itself, started as in service and spoken to over loopback sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+PATIENCE = 20.0
+SETTINGS = {
+    "Classes": [{"Name": "browse", "Aim": 500_000_000, "Deadline": 3_000_000_000, "Semantics": "repeatable",
+                 "KeyScope": "all", "Worth": 2.0}],
+    "Caps": {"Probing": True, "Cancelling": True, "MaxAttempts": 6, "DialTimeout": 250_000_000},
+    "Report": {"Fields": ["fail_rate", "rif", "x0"], "Via": "probe"},
+    "Discovery": "on_request", "FailureDomains": ["a", "b"], "Some": {"New": 1}, "Siblings": 3,
+    "Specifics": {"Groups": True, "MessageAim": [150_000_000], "Notes": "words"}, "Weights": "rough",
+}
+
+
+class Line:
+    """A socket read line by line."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.settimeout(PATIENCE)
+        self.file = sock.makefile("rb")
+
+    def send(self, line: str) -> None:
+        self.sock.sendall(line.encode() + b"\r\n")
+
+    def read(self) -> str:
+        return self.file.readline().decode().removesuffix("\r\n")
+
+    def ended(self) -> bool:
+        try:
+            return self.file.read() == b""
+        except ConnectionResetError:
+            return True
+
+    def broke(self) -> bool:
+        with pytest.raises(ConnectionResetError):
+            self.file.read()
+        return True
+
+    def close(self, rude: bool = False) -> None:
+        if rude:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.file.close()
+        self.sock.close()
+
+
+class Listener:
+    """A scripted application server, or discovery."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.settimeout(PATIENCE)
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+
+    def accept(self) -> Line:
+        return Line(self.sock.accept()[0])
+
+    def asked(self) -> tuple[Line, str]:
+        """Accept connections up to one that is no probe."""
+        while True:
+            line = self.accept()
+            first = line.read()
+            if first != "STATS":
+                return line, first
+            line.send("PONG eps=0.0,inflight=1,x0=0.2")
+
+
+class World:
+    """A relay with one or more application servers and discovery."""
+
+    def __init__(self, tmp_path: Path, servers: int = 1, known: bool = True) -> None:
+        self.servers = [Listener() for _ in range(servers)]
+        self.discovery = Listener()
+        listed = self.entries()
+        config = {"name": "n0", "seed": "8c1f30d27a5be964", "settings": SETTINGS, "extra": [1],
+                  "known": {"index": 4, "snapshot": True, "endpoints": listed if known else []}}
+        (tmp_path / "config.json").write_text(json.dumps(config))
+        env = {**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json"), "PROXY_LISTEN": "127.0.0.1:0",
+               "PROXY_DISCOVERY": self.discovery.address}
+        self.process = subprocess.Popen([sys.executable, "-m", "scaledeal"], cwd=ROOT, env=env,
+                                        stderr=subprocess.PIPE, text=True)
+        assert self.process.stderr is not None
+        told = self.process.stderr.readline()
+        found = re.search(r"listens on 127.0.0.1:(\d+)", told)
+        assert found, told
+        self.port = int(found[1])
+        self.watch, self.query = self.next_watch(self.discovery.accept())
+
+    def entries(self, **changes: object) -> list[dict[str, object]]:
+        return [{"name": f"s{i}", "address": s.address, "zone": "a", "type": "m", "group": i, "weight": 1.0,
+                 "status": "active", "since_ms": 0, **changes} for i, s in enumerate(self.servers)]
+
+    def next_watch(self, line: Line) -> tuple[Line, str]:
+        query = line.read()
+        while line.read():
+            pass
+        return line, query
+
+    def tell(self, index: int, endpoints: list[dict[str, object]], snapshot: bool = False) -> None:
+        """Answer the watch; return when the next one has come."""
+        body = json.dumps({"index": index, "snapshot": snapshot, "endpoints": endpoints})
+        self.watch.sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+                                f"Content-Type: application/json\r\n\r\n{body}".encode())
+        answered = time.monotonic()
+        self.watch, self.query = self.next_watch(self.watch)
+        self.gap = time.monotonic() - answered
+
+    def client(self, first: str = "") -> Line:
+        line = Line(socket.create_connection(("127.0.0.1", self.port), PATIENCE))
+        if first:
+            line.send(first)
+        return line
+
+    def stand(self) -> tuple[Line, Line]:
+        client = self.client(ask())
+        server, _ = self.servers[0].asked()
+        server.send("UP 1")
+        assert client.read() == "UP 1"
+        return client, server
+
+
+def ask(number: int = 1, more: str = "", wait: int = 3000) -> str:
+    return f"OPEN {number:016x} 7f3a9c21e0b4d655 c=browse,d={wait},g=5c0f6e1a2b3d4c59{more}"
+
+
+@pytest.fixture()
+def world(tmp_path: Path) -> Iterator[World]:
+    made = World(tmp_path)
+    yield made
+    assert made.process.poll() in (None, 0), "the relay died"
+    made.process.kill()
+    made.process.wait()
+
+
+def test_a_front_is_answered_and_may_ask_again(world: World) -> None:
+    front = world.client("PING")
+    assert front.read() == "PONG"
+    front.send("PING")
+    assert front.read() == "PONG"
+
+
+def test_lines_pass_both_ways_unchanged_until_the_server_is_done(world: World) -> None:
+    client = world.client(ask(more=",r=1,odd=x"))
+    server, first = world.servers[0].asked()
+    head, _, tail = first.partition("d=")
+    wait, _, rest = tail.partition(",")
+    assert head == ask().partition("d=")[0] and rest == "g=5c0f6e1a2b3d4c59,r=1,odd=x"
+    assert 1 <= int(wait) <= 3000
+    server.send("UP f00d")
+    assert client.read() == "UP f00d"
+    for text in ("M 1 abc", "", "x" * 4094):
+        client.send(text)
+        assert server.read() == text
+        server.send(text)
+        assert client.read() == text
+    server.send("LOAD 812.5")
+    assert client.read() == "LOAD 812.5"
+    server.send("BYE")
+    server.close()
+    assert client.read() == "BYE" and client.ended()
+
+
+def test_a_client_that_ends_its_side_still_gets_the_servers_last_lines(world: World) -> None:
+    # Guards against a half-close taken as the end of both ways.
+    client, server = world.stand()
+    client.send("M 1")
+    client.sock.shutdown(socket.SHUT_WR)
+    assert server.read() == "M 1" and server.read() == ""
+    server.send("M 1 back")
+    server.close()
+    assert client.read() == "M 1 back" and client.ended()
+
+
+def test_a_connection_that_breaks_breaks_the_other_side(world: World) -> None:
+    client, server = world.stand()
+    server.close(rude=True)
+    assert client.broke()
+    client, server = world.stand()
+    client.close(rude=True)
+    assert server.broke()
+
+
+@pytest.mark.parametrize("first", [
+    "GET / HTTP/1.1", "OPEN 1 2", "OPEN 1 2 c=none,d=5", "OPEN 1 2 c=browse,d=-1", "OPEN 1 2 c=browse,d=5,g",
+    "OPEN 1 2 c=browse,d=" + "9" * 4096, "\udcff"])
+def test_what_is_no_request_is_answered_and_closed(world: World, first: str) -> None:
+    client = world.client()
+    client.sock.sendall(first.encode("utf-8", "surrogateescape") + b"\r\n")
+    assert client.read() == "ERR" and client.ended()
+
+
+def test_a_first_line_that_is_cut_off_is_no_request(world: World) -> None:
+    client = world.client()
+    client.sock.sendall(ask().encode())
+    client.sock.shutdown(socket.SHUT_WR)
+    assert client.read() == "ERR" and client.ended()
+    front = world.client("PING")
+    assert front.read() == "PONG"
+
+
+def test_a_server_that_refuses_or_turns_away_is_followed_by_another(tmp_path: Path) -> None:
+    world = World(tmp_path, servers=2)
+    try:
+        world.servers[0].sock.close()
+        client = world.client(ask())
+        server, _ = world.servers[1].asked()
+        server.send("UP 2")
+        assert client.read() == "UP 2"
+    finally:
+        world.process.kill()
+        world.process.wait()
+
+
+def test_a_connection_from_before_the_start_goes_where_it_stood(tmp_path: Path) -> None:
+    # Guards against one that is asked for before any list has named its server.
+    world = World(tmp_path, known=False)
+    try:
+        client = world.client(ask(more=",at=s0", wait=60_000))
+        world.tell(9, world.entries(), snapshot=True)
+        server, first = world.servers[0].asked()
+        assert first.endswith(",at=s0")
+        server.send("UP 3")
+        assert client.read() == "UP 3"
+    finally:
+        world.process.kill()
+        world.process.wait()
+
+
+def test_the_watch_goes_on_at_once_and_a_gap_asks_for_the_whole_list(world: World) -> None:
+    assert "after=4&" in world.query
+    world.tell(7, world.entries(), snapshot=True)
+    assert "after=7&" in world.query and world.gap < 0.2
+    world.tell(2, [])
+    assert world.query.split(" ")[1] == "/catalog/members"
+    world.tell(2, world.entries(), snapshot=True)
+    assert "after=2&" in world.query
+
+
+def test_a_failed_call_is_made_again_after_a_pause(world: World) -> None:
+    world.watch.sock.sendall(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+    failed = time.monotonic()
+    world.watch.sock.settimeout(0.3)
+    with pytest.raises((TimeoutError, OSError)):
+        world.watch.sock.recv(1, socket.MSG_PEEK)
+    world.watch.sock.settimeout(PATIENCE)
+    line, query = world.next_watch(world.watch)
+    assert "after=4&" in query and time.monotonic() - failed > 0.3
+
+
+def test_a_server_that_drains_gets_nothing_new(world: World) -> None:
+    world.tell(5, world.entries(status="leaving"))
+    client = world.client(ask(wait=1200))
+    assert client.read().startswith("BUSY") and client.ended()
+
+
+def test_sigterm_answers_moves_and_exits_in_time(world: World) -> None:
+    client, server = world.stand()
+    waiting = world.client(ask(2))
+    held, _ = world.servers[0].asked()
+    started = time.monotonic()
+    world.process.send_signal(signal.SIGTERM)
+    late = world.client("PING")
+    assert late.read() == "PONG"
+    arriving, coming = world.client(ask(3)), world.servers[0].asked()[0]
+    coming.send("UP 5")
+    assert arriving.read() == "UP 5"
+    assert client.read() == "MOVE" and client.ended() and server.ended()
+    assert arriving.read() == "MOVE" and arriving.ended()
+    assert held.ended()  # its time as an attempt ran out; the request itself is owed an answer still
+    assert waiting.read().startswith("BUSY") and waiting.ended()
+    assert world.process.wait(PATIENCE) == 0
+    assert time.monotonic() - started < 3.7
+
+
+@pytest.mark.parametrize(("change", "told"), [
+    ({"PROXY_CONFIG": ""}, "PROXY_CONFIG"), ({"PROXY_CONFIG": "/nowhere"}, "nowhere"),
+    ({"PROXY_LISTEN": "here"}, "PROXY_LISTEN"), ({"PROXY_DISCOVERY": "1.2.3.4:x"}, "PROXY_DISCOVERY"),
+    ({"text": "{"}, "PROXY_CONFIG"), ({"text": '{"settings":{"Siblings":"many"}}'}, "Siblings"),
+    ({"text": '{"settings":{}}'}, "classes"),
+])
+def test_a_bad_start_ends_with_one_plain_line(tmp_path: Path, change: dict[str, str], told: str) -> None:
+    text = change.get("text", json.dumps({"settings": SETTINGS}))
+    (tmp_path / "config.json").write_text(text)
+    env = {**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json"), "PROXY_LISTEN": "127.0.0.1:0",
+           "PROXY_DISCOVERY": "127.0.0.1:1", **change}
+    call = [sys.executable, "-m", "scaledeal"]
+    run = subprocess.run(call, cwd=ROOT, env=env, capture_output=True, text=True)
+    assert run.returncode == 2 and run.stdout == ""
+    assert run.stderr.count("\n") == 1 and told in run.stderr
