Tell the times of messages on LOAD lines from loads

Cause: net/proxy_pass.py gave every LOAD X to the module as a load. Read as a load of 364 us a second, a crowded server looks idle and is sent more. Done: net/load_lines.py takes a value far under the load as a time only once a second one follows a second later. Also: connections are looked at 10 times a second, and a message unanswered for 250 ms is news.

--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -13,6 +13,7 @@
 
 from scaledeal import interface as api
 from scaledeal.net.delays import Delays
+from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.sides import Agent, Ask, Prober
 from scaledeal.net.transaction import State, Transaction
@@ -20,7 +21,7 @@
 
 log = logging.getLogger("scaledeal.driver")
 
-LOOK = 500_000_000  # ns between two looks at the connections that stand
+LOOK = 100_000_000  # ns between two looks at the connections that stand
 
 
 class Driver:
@@ -34,6 +35,7 @@
         self.transactions: dict[str, Transaction] = {}
         self.addresses: dict[str, str] = {}  # where each application server was last said to be
         self.delays = Delays(tuple(each.message_aim for each in settings.classes), self.now)
+        self.load_lines = LoadLines(self.delays.least / 1e6, self.now)
         self.draining = False  # this relay is to stop: whatever stands is moved
         self.prober: Prober | None = None
         self.watch: Callable[[], None] = lambda: None
@@ -105,6 +107,7 @@
     def forget(self, transaction: Transaction) -> None:
         """Take a transaction off the table."""
         self.transactions.pop(transaction.handle, None)
+        self.load_lines.forget(transaction.handle)
 
     def overdue(self, transaction: Transaction) -> None:
         """Note that the decision module left a request unanswered."""
@@ -118,6 +121,8 @@
     def look_round(self) -> None:
         """Look at every connection that stands: no timer is set for a single line."""
         self.later(LOOK, self.look_round)
+        for handle, load in self.load_lines.settle():
+            self.transactions[handle].note(api.NoteKind.LOAD, load)
         now = self.now()
         for transaction in list(self.transactions.values()):
             if transaction.state is State.STANDING:
--- a/scaledeal/net/proxy_pass.py
+++ b/scaledeal/net/proxy_pass.py
@@ -204,7 +204,7 @@
 
     def _load(self, line: bytes) -> None:
         amount = wording.number(line.partition(b" ")[2].decode("ascii", "replace"))
-        self.events.load_is(amount)
+        self.events.load_line(amount)
 
     def _timed_out(self) -> None:
         # Guards against a connection that never came up counting as one that may have run.
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -28,8 +28,8 @@
     def established(self) -> None:
         """Hear that the connection stands."""
 
-    def load_is(self, amount: float) -> None:
-        """Hear the connection's load, in microseconds of work a second."""
+    def load_line(self, amount: float) -> None:
+        """Hear of the connection's load, or of its server's messages."""
 
     def message_took(self, took: int) -> None:
         """Hear how many nanoseconds passed between a message and its answer."""
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -11,11 +11,12 @@
 
 from scaledeal import interface as api
 from scaledeal.net.delays import Delays
+from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.ports import Timer
 from scaledeal.net.sides import Agent, Ask, Pass
 
 MS = 1_000_000
-UNANSWERED = 1000 * MS  # a message without an answer for so long is news before its answer comes
+UNANSWERED = 250 * MS  # a message without an answer for so long is news before its answer comes
 SILENT = 6000 * MS  # a connection that returns nothing for so long is taken as broken; 7 s are allowed
 SLACK = 10_000_000  # ns after the deadline at which a request that nobody answered is answered here
 
@@ -33,6 +34,7 @@
 
     draining: bool
     delays: Delays
+    load_lines: LoadLines
 
     def now(self) -> int:
         """Return the time."""
@@ -120,14 +122,15 @@
         if self.desk.draining:
             self.move()
 
-    def load_is(self, amount: float) -> None:
-        """Pass on the connection's load."""
-        self._note(api.NoteKind.LOAD, amount)
+    def load_line(self, amount: float) -> None:
+        """Pass on what a LOAD line tells."""
+        if told := self.desk.load_lines.read(self.server, self.handle, amount):
+            self.note(*told)
 
     def message_took(self, took: int) -> None:
         """Pass on how long a message took, where that is news."""
         if self.desk.delays.news(self.server, took):
-            self._note(api.NoteKind.DELAY, took / MS)
+            self.note(api.NoteKind.DELAY, took / MS)
 
     def look(self, now: int) -> None:
         """Look at a connection that stands: one that returns nothing is told, and in the end broken off."""
@@ -140,7 +143,8 @@
         elif now - since >= UNANSWERED:
             self.message_took(now - since)
 
-    def _note(self, kind: api.NoteKind, amount: float) -> None:
+    def note(self, kind: api.NoteKind, amount: float) -> None:
+        """Tell the module news of the connection."""
         self.desk.post(api.Note(self.handle, self.passes - 1, self.server, kind, amount))
 
     def over(self, result: api.Result, report: tuple[float, ...], broke: bool) -> None:
--- a/tests/netfakes.py
+++ b/tests/netfakes.py
@@ -159,6 +159,7 @@
 
     def __init__(self) -> None:
         self.reactor = FakeReactor()
+        self.reactor.advance(1000)  # a clock at 0 means "never" here
         self.pool = BufferPool()
         self.driver = Driver(self.reactor, SETTINGS, 1, lambda: int(self.reactor.seconds() * 1e9))
         self.module = Scripted()
--- /dev/null
+++ b/tests/test_net_parts.py
@@ -0,0 +1,301 @@
+"""The parts of the relay one by one: one failure found, or one trap of the protocol, one test."""
+
+from __future__ import annotations
+
+import pytest
+from netfakes import MS, Bench, Wire
+from twisted.internet import error
+
+from scaledeal import interface as api
+from scaledeal.net import wording
+from scaledeal.net.buffers import LINE, BufferPool
+from scaledeal.net.delays import Delays
+from scaledeal.net.lines import LINGER, STALL, LineLink
+from scaledeal.net.load_lines import LoadLines
+from scaledeal.net.roster import Calendar, Endpoint, Roster, entries
+
+OPEN = b"OPEN 9b1f 7f3a c=browse,d=800,g=5c0f\r\n"
+
+
+def stand(bench: Bench) -> tuple[Wire, Wire, str]:
+    client = bench.client()
+    client.receive(OPEN)
+    name = bench.module.of(api.Request)[-1].request
+    bench.act(api.Send(name, "a", 0))
+    server = bench.reactor.dialled[-1].up(bench.reactor)
+    server.flush()
+    server.receive(b"UP 1\r\n")
+    return client, server, name
+
+
+def test_only_d_is_rewritten():
+    line = b"OPEN 9b1f 7f3a c=x,d=2000,g=5c,dd=7,h=1.5"
+    read = wording.read_open(line)
+    assert read.with_wait(1234 * MS) == line.replace(b"d=2000", b"d=1234")
+    assert read.with_wait(1).partition(b"d=")[2].startswith(b"1,"), "a wait of no time would be no number"
+
+
+@pytest.mark.parametrize("line", [b"OPEN a b c=x", b"OPEN a b d=1", b"OPEN a  c=x,d=1", b"open a b c=x,d=1",
+                                  b"OPEN a b c=x,d=1 more", b"OPEN a b c=x,d=1.5", b"\xff", b""])
+def test_a_line_in_another_form_is_no_request(line):
+    assert wording.read_open(line) is None
+
+
+def test_reports_are_read_by_the_words_of_the_sockets_in_the_order_of_the_settings():
+    read = wording.report_reader(("fail_rate", "rif", "x0"))
+    assert read(b"PONG inflight=7,x0=0.61,eps=0.5,new=1") == (0.5, 7.0, 0.61)
+    # Guards against a report that lacks a value being taken for an idle server.
+    assert read(b"PONG inflight=7,eps=0.5") == () and read(b"BYE") == ()
+
+
+def test_an_unchanged_start_is_the_same_moment_in_every_list():
+    # Guards against a server that seems to have restarted since the clocks were read again.
+    calendar = Calendar(5_000 * MS, 1_000_000 * MS)
+    told = [entries(Roster(endpoints=(Endpoint("s", since_ms=996_000),)), ("z",), calendar) for _ in range(2)]
+    assert told[0] == told[1] and told[0][0].started == 1_000 * MS
+    assert calendar.moment(0) == 0 and calendar.moment(1) == 0
+
+
+def test_slow_messages_are_news_once_a_second_and_once_more_when_over():
+    # Guards against a note for every message, which the module was never tuned for.
+    now = [0]
+    delays = Delays((60 * MS, 90 * MS, 0), lambda: now[0])
+    assert [delays.news("s", took * MS) for took in (19, 21, 99)] == [False, True, False]
+    now[0] = 1000 * MS
+    assert [delays.news("s", 21 * MS), delays.news("t", 21 * MS)] == [True, True]
+    assert [delays.news("s", MS), delays.news("s", MS)] == [True, False]
+
+
+def load_lines() -> tuple[LoadLines, list[int]]:
+    now = [0]
+    return LoadLines(16.0, lambda: now[0]), now
+
+
+def test_times_on_load_lines_are_no_loads():
+    # Guards against a crowded server that looks idle: 364 ms read as a load of 364 us a second.
+    lines, now = load_lines()
+    told = []
+    for at, amount in ((0, 60_000.0), (500, 364.3), (1500, 277.7), (2500, 3.8), (3100, 55_000.0)):
+        now[0] = at * MS
+        told.append(lines.read("s", "c", amount))
+    load, delay = api.NoteKind.LOAD, api.NoteKind.DELAY
+    assert told == [(load, 60_000.0), None, (delay, 277.7), (delay, 3.8), (load, 55_000.0)]
+    now[0] = 9000 * MS
+    assert lines.settle() == []
+
+
+def test_a_load_that_falls_far_is_told_once_no_second_time_came():
+    lines, now = load_lines()
+    lines.read("s", "c", 60_000.0)
+    now[0] = 700 * MS
+    assert lines.read("s", "c", 400.0) is None
+    now[0] = 1600 * MS
+    assert lines.settle() == []
+    now[0] = 1800 * MS
+    assert lines.settle() == [("c", 400.0)] and lines.settle() == []
+    assert lines.read("s", "c", 900.0) == (api.NoteKind.LOAD, 900.0)
+    lines.forget("c")
+    assert not lines.loads
+
+
+def test_buffers_are_of_one_size_and_used_again():
+    pool = BufferPool(kept=1)
+    first, second = pool.take(), pool.take()
+    pool.give_back(first)
+    pool.give_back(second)
+    assert pool.take() is first and len(first) == LINE and len(pool.free) == 0 and pool.out == 1
+
+
+@pytest.mark.parametrize("size", [LINE - 2, LINE - 1, 3 * LINE])
+def test_a_line_of_4_kib_passes_and_a_longer_one_is_answered(size):
+    bench = Bench()
+    client = bench.client()
+    line = (OPEN[:-2] + b",x=").ljust(size, b"y")
+    client.receive(line[:LINE - 2])
+    client.receive(line[LINE - 2:] + b"\r\n")
+    assert len(bench.module.of(api.Request)) == (size == LINE - 2)
+    assert client.lines() == ([] if size == LINE - 2 else [b"ERR"])
+    assert bench.pool.out == 0
+
+
+def test_a_connect_that_does_not_come_up_never_ran():
+    # Guards against a time out of a connect told as one that may have run.
+    for timeout in (100 * MS, 0):
+        bench = Bench()
+        bench.client().receive(OPEN)
+        bench.act(api.Send(bench.module.of(api.Request)[0].request, "a", timeout))
+        bench.reactor.advance(0.26)
+        assert [o.result for o in bench.module.of(api.Outcome)] == [api.Result.CONNECT_FAILED]
+
+
+def test_a_late_up_does_not_reach_the_client():
+    bench = Bench()
+    client = bench.client()
+    client.receive(OPEN)
+    bench.act(api.Send(bench.module.of(api.Request)[0].request, "a", 90 * MS))
+    server = bench.reactor.dialled[0].up(bench.reactor)
+    server.flush()
+    bench.reactor.advance(0.1)
+    server.link.dataReceived(b"UP 1\r\n")
+    assert client.lines() == [] and not bench.module.of(api.Established)
+    assert bench.module.of(api.Outcome)[0].result is api.Result.TIMEOUT
+
+
+def test_move_stands_between_two_lines():
+    bench = Bench()
+    client, server, name = stand(bench)
+    server.receive(b"M 1 half a li")
+    bench.act(api.Move(name))
+    server.receive(b"ne\r\n")
+    assert client.lines() == [b"UP 1", b"MOVE"]
+    server.flush()
+    bench.reactor.advance(1)
+    bench.reactor.advance(0)
+    assert bench.module.of(api.Outcome)[0].result is api.Result.CANCELLED
+
+
+def test_a_silent_connection_is_told_and_broken_off_within_7_seconds():
+    # Guards against clients left on a server that hangs or was cut off: TCP tells nothing of it.
+    bench = Bench()
+    bench.driver.look_round()
+    client, server, _ = stand(bench)
+    client.receive(b"M 1\r\n")
+    for _ in range(65):
+        bench.reactor.advance(0.1)
+    told = [note.amount for note in bench.module.of(api.Note)]
+    assert told[0] < 500 and told == sorted(told) and 4 <= len(told) <= 7
+    bench.reactor.advance(0)
+    assert server.lost and client.fin_due and bench.module.of(api.Outcome)[0].result is api.Result.RESET
+
+
+def test_a_connection_that_answers_is_never_broken_off():
+    bench = Bench()
+    bench.driver.look_round()
+    client, server, _ = stand(bench)
+    for _ in range(30):
+        client.receive(b"M 1\r\n")
+        bench.reactor.advance(0.01)
+        server.receive(b"M 1\r\n")
+        bench.reactor.advance(0.5)
+    bench.reactor.advance(30)
+    assert not server.lost and not bench.module.of(api.Note)
+
+
+def test_a_slow_reader_pauses_the_other_side_and_is_reset_in_the_end():
+    # Guards against all that a server sends piling up for a client that reads nothing.
+    bench = Bench()
+    client, server, _ = stand(bench)
+    client.producer.pauseProducing()
+    assert server.paused
+    bench.reactor.advance(STALL - 1)
+    client.producer.resumeProducing()
+    assert not server.paused
+    client.producer.pauseProducing()
+    bench.reactor.advance(STALL + 1)
+    bench.reactor.advance(0)
+    assert client.lost
+    server.flush()
+    bench.reactor.advance(1)
+    assert server.lost and not bench.driver.transactions
+
+
+def test_a_peer_that_does_not_close_is_reset_soon():
+    bench = Bench()
+    client, server, name = stand(bench)
+    bench.act(api.Move(name))
+    client.flush()
+    assert client.fin_sent and not client.lost
+    bench.reactor.advance(LINGER)
+    bench.reactor.advance(0)
+    assert client.lost and server.lost
+
+
+def test_a_client_that_says_nothing_is_let_go():
+    bench = Bench()
+    client = bench.client()
+    bench.reactor.advance(11)
+    bench.reactor.advance(0)
+    assert client.lost
+
+
+def test_lines_sent_before_the_answer_wait_for_it():
+    bench = Bench()
+    client = bench.client()
+    client.receive(OPEN + b"M 1\r\nM 2\r\n")
+    assert client.paused
+    bench.act(api.Send(bench.module.of(api.Request)[0].request, "a", 0))
+    server = bench.reactor.dialled[0].up(bench.reactor)
+    server.flush()
+    server.receive(b"UP 1\r\n")
+    assert server.lines()[1:] == [b"M 1", b"M 2"] and not client.paused
+
+
+def test_a_request_for_a_server_that_moved_goes_to_its_new_address():
+    bench = Bench()
+    bench.list(a="127.0.0.9:9")
+    stand(bench)
+    assert bench.reactor.dialled[0].address == "127.0.0.9:9"
+
+
+def test_a_failing_module_ends_nothing_but_its_event():
+    # Guards against one exception that takes the process and every connection on it along.
+    bench = Bench()
+    client, server, _ = stand(bench)
+
+    def fail(event: api.Event) -> list[api.Action]:
+        raise RuntimeError("index out of range")
+
+    bench.module.reply = fail
+    other = bench.client()
+    other.receive(OPEN)
+    bench.reactor.advance(0.9)
+    assert other.lines() == [b"ERR"], "an answer is owed all the same"
+    client.receive(b"M 1\r\n")
+    assert server.lines()[-1] == b"M 1"
+
+
+def test_probes_share_a_connection_and_each_has_one_result():
+    bench = Bench()
+    answers = [(b"PONG eps=0,inflight=3,x0=0.5\r\n", api.Result.OK), (b"ERR\r\n", api.Result.ERROR),
+               (b"NO\r\n", api.Result.ERROR)]
+    for line, result in answers:
+        bench.act(api.Probe("a"))
+        if not bench.wires():
+            bench.reactor.dialled[0].up(bench.reactor)
+        bench.wires()[0].receive(line)
+        assert bench.module.of(api.ProbeResult)[-1].result is result
+    assert bench.module.of(api.ProbeResult)[0].report == (0.0, 3.0, 0.5)
+    assert len(bench.reactor.dialled) == 1 and bench.wires()[0].lines() == [b"STATS"] * 3
+    bench.reactor.advance(5)
+    bench.reactor.advance(0)
+    assert bench.wires()[0].lost, "kept beyond its use"
+
+
+def test_a_probe_without_an_answer_has_its_result_and_a_late_answer_none():
+    bench = Bench()
+    bench.act(api.Probe("a"))
+    server = bench.reactor.dialled[0].up(bench.reactor)
+    bench.reactor.advance(0.5)
+    server.link.dataReceived(b"PONG eps=0,inflight=3,x0=0.5\r\n")
+    bench.act(api.Probe("a"))
+    bench.reactor.dialled[1].fail()
+    bench.act(api.Probe("a"))
+    bench.reactor.dialled[2].up(bench.reactor).lose(error.ConnectionLost())
+    results = [probe.result for probe in bench.module.of(api.ProbeResult)]
+    assert results == [api.Result.TIMEOUT, api.Result.CONNECT_FAILED, api.Result.RESET]
+    bench.act(api.Probe("unknown"))
+    assert bench.module.of(api.ProbeResult)[-1].result is api.Result.CONNECT_FAILED
+
+
+def test_an_exception_of_one_link_is_not_swallowed_here():
+    # Twisted closes the connection whose handler raised and goes on; nothing here may hide that from it.
+    bench = Bench()
+    link = LineLink(bench.reactor, bench.pool)
+    Wire(bench.reactor, link)
+
+    def fail(line: bytes) -> None:
+        raise RuntimeError
+
+    link.line_came = fail  # type: ignore[method-assign]
+    with pytest.raises(RuntimeError):
+        link.dataReceived(b"x\r\n")
