--- a/scaledeal/net/load_lines.py
+++ b/scaledeal/net/load_lines.py
@@ -3,9 +3,9 @@
 The settings say that application servers tell both (``Specifics.Notes``): the load in microseconds of work a
 second, when it changes, and the milliseconds that a message takes there, once a second while they are many
 and once more when they are few again. On the wire both come as ``LOAD X``, without a mark. Taken for a load,
-a time makes a crowded server look idle. What tells them apart: a connection's first LOAD is its load, and times
-come exactly a second apart, at least two in a row; so a value far under the connection's load waits for a
-second one before it counts as either.
+a time makes a crowded server look idle. What tells them apart: a connection's first LOAD is its load, and
+times come exactly a second apart, at least two in a row; so a value far under the connection's load waits
+for a second one before it counts as either.
 """
 
 from __future__ import annotations
