--- a/scaledeal/net/proxy_pass.py
+++ b/scaledeal/net/proxy_pass.py
@@ -207,15 +207,14 @@
         self.events.load_line(amount)
 
     def _timed_out(self) -> None:
-        # Guards against a connection that never came up counting as one that may have run.
         self.timer = None
-        early = self.stage is Stage.CONNECTING
-        self._stop(api.Result.CONNECT_FAILED if early else api.Result.TIMEOUT)
+        self._stop(api.Result.TIMEOUT)
 
     def _stop(self, result: api.Result) -> None:
         """Close at once; the end is told when the socket is closed."""
         if self.stage is Stage.ENDING:
             return
+        # Guards against a connection that never came up counting as one that may have run.
         early = self.stage in (Stage.CONNECTING, Stage.SENDING) and result is api.Result.TIMEOUT
         self.stage, self.result = Stage.ENDING, api.Result.CONNECT_FAILED if early else result
         if self.connector is not None:
