Move the clients that still stand at a server 1 s after it drains

Cause: policy.py took a server out of what a tick looks at as soon as it was not live. Ruled out: a rule of the network layer, which moves nobody on its own account while it runs.

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -50,6 +50,7 @@
 PROBE_PERIOD = 1.5 * SECOND  # a report older than this is worth a probe
 PROBE_COST = 0.005  # points that probes may cost, at the price in the settings
 PROBE_BURST = 10.0
+DRAIN_WAIT = SECOND  # time that a draining server gets to send its clients away itself
 MOVE_SHARE = 0.1  # share of a troubled server's connections that may be moved in a tick
 SHED_SHARE = 0.05  # share of a saturated server's connections cut in a tick while the ladder polices
 LOSE_SHARE = 0.1  # without reports: share of its groups that a saturated server loses, a second of trouble
@@ -223,6 +224,7 @@
         self.servers: dict[str, Server] = {}
         self.live: list[Server] = []
         self.known: dict[str, Server] = {}  # servers of which a tick has something to look at
+        self.draining: dict[Server, int] = {}  # servers told to drain while they held connections, and when
         self.flights: dict[str, Flight] = {}
         self.held: dict[str, Flight] = {}
         self.out: list[api.Action] = []
@@ -300,6 +302,8 @@
             server.strikes = server.suspect_until = server.troubled_since = 0
             server.reported = -1.0
             server.delay = 0.0
+        if entry.state is api.ServerState.DRAINING and server.open:
+            self.draining.setdefault(server, self.now)
         server.state, server.started = entry.state, entry.started
         server.zone, server.stripe = entry.zone, entry.cell
         server.weight = entry.weight if self.settings.fixed_weights and entry.weight > 0 else 1.0
@@ -660,6 +664,7 @@
         if self.probes >= 1:
             self._probe(sorted(self.live, key=lambda s: s.probe_at))
         self._sample()
+        self._empty()
         self._move()
         if self.now >= self.step_at:
             self.step_at = self.now + INTERVAL
@@ -689,6 +694,17 @@
             severe = ", severely overloaded: refusing all" if self.ladder.rung == RUNGS - 1 else ""
             self.out.append(api.Log(f"ladder on rung {self.ladder.rung}{severe}"))
 
+    def _empty(self) -> None:
+        """Move the clients that still stand at a draining server, which was to send them away itself."""
+        # Guards against clients cut off without a word: a server may leave without sending them away.
+        for server, told in list(self.draining.items()):
+            if server.state is not api.ServerState.DRAINING or not server.open:
+                del self.draining[server]
+            elif self.now - told >= DRAIN_WAIT:
+                for flight in [f for f in server.open.values() if f.opened and not f.answered]:
+                    flight.answered = True
+                    self.out.append(api.Move(flight.id))
+
     def _move(self) -> None:
         """Have saturated servers lose groups, the same ones at every gateway, a few connections at a time."""
         saturated = sum(1 for s in self.known.values() if self._saturated(s))
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -191,6 +191,21 @@
     assert cut and sum(cut[:4]) == 4
 
 
+def test_clients_are_moved_before_their_server_leaves():
+    # Guards against clients cut off without a word: a server may leave without sending them away.
+    driver = Driver(servers=4)
+    names = fill(driver, 12)
+    leaving = driver.server_of(names[0])
+    staying = {n for n in names if driver.server_of(n) != leaving}
+    draining = replace(driver.list[leaving], state=api.ServerState.DRAINING)
+    driver.members(api.MembershipKind.CHANGES, (draining,))
+    driver.wait(SECOND // 2)
+    assert not driver.actions(api.Move)
+    driver.wait(SECOND)
+    moved = [a.request for a in driver.actions(api.Move)]
+    assert sorted(moved) == sorted(set(names) - staying) and moved
+
+
 def test_a_gateway_with_few_connections_cuts_them_no_faster_than_one_with_many():
     # Guards against many gateways with two connections each all rounding up to one a tick.
     cut = 0
