--- a/scaledeal/net/health_probe.py
+++ b/scaledeal/net/health_probe.py
@@ -18,11 +18,13 @@
 class HealthProbe:
     """Probes one application server; owns the connection and its one timer."""
 
-    def __init__(self, trade: Trade, server: str, idle: float, tell: Report) -> None:
+    def __init__(self, trade: Trade, server: str, idle: float, tell: Report,
+                 over: Callable[[str], None]) -> None:
         self.trade = trade
         self.server = server
         self.idle = idle
         self.tell = tell
+        self.over = over
         self.address = ""
         self.link: AppServerLink | None = None  # the connection in use
         self.began = 0  # when the probe that is out was sent, 0 if none is
@@ -72,6 +74,11 @@
         self._result(api.Result.TIMEOUT)
         self._drop()
 
+    def _unused(self) -> None:
+        self.timer = None
+        self._drop()
+        self.over(self.server)
+
     def _drop(self) -> None:
         """Close the connection; nothing more of it is heard."""
         link, self.link = self.link, None
@@ -81,10 +88,9 @@
 
     def _result(self, result: api.Result, report: tuple[float, ...] = ()) -> None:
         if not self.began:
-            self._stop_timer()
             return
         elapsed, self.began = self.trade.now() - self.began, 0
-        self._set_timer(self.idle, self._drop)
+        self._set_timer(self.idle, self._unused)
         self.tell(api.ProbeResult(self.server, result, elapsed, report))
 
     def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
@@ -128,5 +134,9 @@
     def probe(self, server: str, address: str) -> None:
         """Probe once; exactly one result is reported."""
         if server not in self.probes:
-            self.probes[server] = HealthProbe(self.trade, server, self.idle, self.tell)
+            self.probes[server] = HealthProbe(self.trade, server, self.idle, self.tell, self.forget)
         self.probes[server].probe(address)
+
+    def forget(self, server: str) -> None:
+        """Drop what was kept for a server that is no longer probed."""
+        self.probes.pop(server, None)
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -13,6 +13,7 @@
 from scaledeal.net.sides import Agent, Ask, PassEvents
 from scaledeal.net.transaction import Transaction
 
+LONGEST_WAIT = 10**9  # ms; guards against a wait that no timer can hold
 FIRST_LINE = 10.0  # seconds that a new connection may stay without a whole first line
 CHECKED = 60.0  # seconds that one may stay open between two PINGs
 
@@ -102,7 +103,7 @@
         now = self.reception.trade.now()
         self.transaction = self.reception.take(Ask(
             request_class=number,
-            deadline=now + int(read.get("d")) * wording.MS,
+            deadline=now + min(int(read.get("d")), LONGEST_WAIT) * wording.MS,
             key=read.key,
             group=read.get("g"),
             tenant=int(wording.number(read.get("t"))),
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -230,6 +230,13 @@
     assert server.lines()[1:] == [b"M 1", b"M 2"] and not client.paused
 
 
+def test_a_wait_beyond_all_timers_is_a_long_wait():
+    # Guards against an overflow that closes the connection without an answer.
+    bench = Bench()
+    bench.client().receive(b"OPEN 9b1f 7f3a c=browse,d=" + b"9" * 400 + b"\r\n")
+    assert bench.module.of(api.Request)[0].deadline > bench.driver.now()
+
+
 def test_a_request_for_a_server_that_moved_goes_to_its_new_address():
     bench = Bench()
     bench.list(a="127.0.0.9:9")
@@ -268,7 +275,7 @@
     assert len(bench.reactor.dialled) == 1 and bench.wires()[0].lines() == [b"STATS"] * 3
     bench.reactor.advance(5)
     bench.reactor.advance(0)
-    assert bench.wires()[0].lost, "kept beyond its use"
+    assert bench.wires()[0].lost and not bench.probes.probes, "kept beyond its use"
 
 
 def test_a_probe_without_an_answer_has_its_result_and_a_late_answer_none():
