Move the clients of a server that answers nothing for 2 s

Cause: policy.py gives a saturated server up by a tenth of its groups a second, whatever its messages take. Done: a message time of 2 s or more strikes the server and moves a third of its connections a tick. Ruled out: a faster break-off in the network layer: moving is the module's to decide.

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -52,6 +52,8 @@
 PROBE_BURST = 10.0
 DRAIN_WAIT = SECOND  # time that a draining server gets to send its clients away itself
 MOVE_SHARE = 0.1  # share of a troubled server's connections that may be moved in a tick
+HUNG = 2000.0  # ms that a message takes at a server that answers nothing at all
+HUNG_SHARE = 0.35  # share of such a server's connections that are moved in a tick
 SHED_SHARE = 0.05  # share of a saturated server's connections cut in a tick while the ladder polices
 LOSE_SHARE = 0.1  # without reports: share of its groups that a saturated server loses, a second of trouble
 
@@ -717,6 +719,9 @@
                 continue
             server.troubled_since = server.troubled_since or self.now
             asked = self._utilisation(server)
+            hung = server.delay >= HUNG and self.now - server.delay_at < NEWS_LASTS
+            if hung and server.suspect_until <= self.now:
+                self._strike(server)
             opened = [f for f in server.open.values() if f.opened and not f.answered]
             going: list[Flight] = []
             if asked is not None or 2 * saturated <= len(self.known):
@@ -731,6 +736,9 @@
                 worths = self.ladder.worths
                 opened.sort(key=lambda f: (worths[f.cell] / (f.load or self._charge(f.cls)), f.id))
                 going = opened[: self._some(len(opened) * SHED_SHARE)]
+            if hung:
+                # Guards against clients left for seconds at a server that answers nothing.
+                going = opened[: math.ceil(len(opened) * HUNG_SHARE)]
             for flight in going:
                 flight.answered = True
                 self.out.append(api.Move(flight.id))
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -206,6 +206,18 @@
     assert sorted(moved) == sorted(set(names) - staying) and moved
 
 
+def test_a_server_that_answers_nothing_loses_its_clients_within_seconds():
+    # Guards against clients left for seconds at a server that hangs, as it does not look asked too much.
+    driver = Driver(REPORTS, servers=4)
+    names = fill(driver, 12, group="g")
+    hung = driver.server_of(names[0])
+    report(driver, **{f"s{i}": 0.3 for i in range(4)})
+    driver.event(api.Note(names[0], 0, hung, api.NoteKind.DELAY, 2250.0))
+    driver.wait(3 * SECOND // 2)
+    assert {a.request for a in driver.actions(api.Move)} >= {n for n in names if driver.server_of(n) == hung}
+    assert all(driver.server_of(n) != hung for n in fill(driver, 5, group="g"))
+
+
 def test_a_gateway_with_few_connections_cuts_them_no_faster_than_one_with_many():
     # Guards against many gateways with two connections each all rounding up to one a tick.
     cut = 0
