Tell the module of hangs: their times on LOAD lines are as large as loads

No log line said that a connection was broken off as silent. Cause: load_lines.py took no value above 5,000 for a time. Done: above 5,000 a value is a time if one like it (1,500 ms) came a second before, within 5 ms.

--- a/scaledeal/net/load_lines.py
+++ b/scaledeal/net/load_lines.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -19,7 +20,10 @@
 MS = 1_000_000
 PERIOD = 1000 * MS
 JITTER = 20 * MS  # how far from a period two times may come
-LONGEST = 5000.0  # ms; a server whose messages take longer answers nothing, and is seen by its silence
+LONGEST = 5000.0  # ms; longer times are told of a server that hangs, and lie among the loads
+HANGS = 60_000.0  # ms; the longest time that is looked for at all
+CLOSE = 5 * MS  # how far from a period two such times may come
+GROWTH = 1500.0  # ms by which such a time may differ from the one a period before
 FAR_UNDER = 10.0  # a load falls to less than this fraction of itself in one step only rarely
 
 Told = tuple[api.NoteKind, float]
@@ -32,6 +36,7 @@
     sure: bool = False  # whether it was one: then the next is due a period later
     doubt: str | None = None  # the connection whose value waits, and that value
     value: float = 0.0
+    recent: deque[tuple[int, float]] = msgspec.field(default_factory=lambda: deque(maxlen=64))
 
 
 class LoadLines:
@@ -51,6 +56,13 @@
         known = self.servers.setdefault(server, _Server())
         now = self.now()
         due = abs(now - known.last_at - PERIOD) <= JITTER
+        if LONGEST < amount <= HANGS:
+            # Guards against a server that hangs being told as loads: its times are as large as loads are.
+            hangs = any(abs(now - at - PERIOD) <= CLOSE and abs(amount - value) <= GROWTH
+                        for at, value in known.recent)
+            known.recent.append((now, amount))
+            if hangs:
+                return api.NoteKind.DELAY, amount
         if due and amount <= LONGEST:
             known.last_at, known.sure, known.doubt = now, amount > self.least, None
             return api.NoteKind.DELAY, amount
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -84,6 +84,18 @@
     assert lines.settle() == []
 
 
+def test_the_times_of_a_server_that_hangs_are_told_apart_from_loads_as_large():
+    # Guards against a hang that the module never hears of: 14,350 ms read as a load of 14,350 us a second.
+    lines, now = load_lines()
+    told = []
+    for at, name, amount in ((0, "c", 60_000.0), (0, "d", 9000.0), (300, "d", 15_000.0), (500, "c", 14_350.6),
+                             (900, "d", 14_000.0), (1500, "c", 15_096.5), (1900, "d", 30_000.0),
+                             (2500, "d", 15_096.5)):
+        now[0] = at * MS
+        told.append((lines.read("s", name, amount) or ("", 0))[0] is api.NoteKind.DELAY)
+    assert told == [False, False, False, False, False, True, False, True]
+
+
 def test_a_load_that_falls_far_is_told_once_no_second_time_came():
     lines, now = load_lines()
     lines.read("s", "c", 60_000.0)
