Take the file's discovery on SIGHUP, and ask the new one for its whole list

Checked and ruled out: PROXY_DISCOVERY stays set in the process, so reading the configuration as at the start would have kept the old address; a version of the old service must not be asked for at the new one. Changed: Relay.reload reads the file again, closes the old Farm (its late answer or failure touches nothing) and has a new one ask for the whole list at once. A bad file is one log line. The version of a farm's list is none until the whole list has come.

--- a/scaledeal/__main__.py
+++ b/scaledeal/__main__.py
@@ -18,6 +18,9 @@
 
 def main() -> int:
     """Run until told to stop."""
+    reactor = cast(Reactor, installed)
+    # Guards against a SIGHUP that ends the program: it waits here until the reactor runs and a relay stands.
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: relay.reload()))
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
         told = config.read()
@@ -26,7 +29,6 @@
         return 2
     PythonLoggingObserver("scaledeal.twisted").start()
     logging.getLogger("scaledeal.twisted").setLevel(logging.WARNING)
-    reactor = cast(Reactor, installed)
     relay = Relay(reactor, told)
     try:
         relay.start()
--- a/scaledeal/net/config.py
+++ b/scaledeal/net/config.py
@@ -61,8 +61,7 @@
     return int.from_bytes(blake2b(given.encode(), digest_size=8).digest(), "big")
 
 
-def read(environment: Mapping[str, str] = os.environ) -> Config:
-    """Read the start; the environment's values go before the file's."""
+def _file(environment: Mapping[str, str]) -> tuple[_File, api.Settings]:
     path = environment.get("PROXY_CONFIG", "")
     if not path:
         raise ConfigError("PROXY_CONFIG: is missing")
@@ -73,9 +72,14 @@
     except (msgspec.MsgspecError, ValueError) as error:
         raise ConfigError(f"PROXY_CONFIG: {path}: {error}") from None
     try:
-        settings = file.settings.settings()
+        return file, file.settings.settings()
     except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
+
+
+def read(environment: Mapping[str, str] = os.environ) -> Config:
+    """Read the start; the environment's values go before the file's."""
+    file, settings = _file(environment)
     return Config(
         name=environment.get("PROXY_NAME") or file.name or "relay",
         listen=address(environment.get("PROXY_LISTEN") or file.listen, "PROXY_LISTEN"),
@@ -85,3 +89,15 @@
         document=file.settings,
         settings=settings,
     )
+
+
+def read_again(before: Config, environment: Mapping[str, str] = os.environ) -> Config:
+    """Read the file again while running: its ``discovery`` takes over, all else waits for the next start.
+
+    Guards against a file that can't be obeyed for as long as PROXY_DISCOVERY goes before it, as it does at
+    the start: the environment of a running process can't be changed, the file can.
+    """
+    file, _ = _file(environment)
+    if not file.discovery:
+        return before
+    return msgspec.structs.replace(before, discovery=address(file.discovery, "discovery"))
--- a/scaledeal/net/farm.py
+++ b/scaledeal/net/farm.py
@@ -24,7 +24,10 @@
 
 
 class Farm:
-    """One watch at a time; a failure ends it, and is told as LOST."""
+    """One watch at a time; a failure ends it, and is told as LOST.
+
+    A farm speaks with one discovery. Another discovery is another farm: its versions are counted on its own.
+    """
 
     def __init__(self, reactor: Reactor, host: str, port: int, zones: tuple[str, ...], calendar: Calendar,
                  tell: Tell) -> None:
@@ -33,12 +36,14 @@
         self.zones = zones
         self.calendar = calendar
         self.tell = tell
-        self.index = 0
+        self.index: int | None = None  # version of the list held; none before the whole list has come
         self.watching = False
-        pool = HTTPConnectionPool(reactor, persistent=True)
-        pool.retryAutomatically = False  # the decision module says when a failed call is made again
-        pool.maxPersistentPerHost = 1
-        self.agent: Any = Agent(reactor, connectTimeout=2.0, pool=pool)
+        self.closed = False
+        self.pool = HTTPConnectionPool(reactor, persistent=True)
+        self.pool.retryAutomatically = False  # the decision module says when a failed call is made again
+        self.pool.maxPersistentPerHost = 1
+        self.agent: Any = Agent(reactor, connectTimeout=2.0, pool=self.pool)
+        self.asked: Deferred[Any] | None = None  # the call that is out
 
     def start_with(self, known: Roster) -> None:
         """Tell the list as it was last held."""
@@ -46,13 +51,22 @@
         self._tell(api.MembershipKind.INITIAL, known)
 
     def watch(self) -> None:
-        """Ask for changes from here on, until a call fails."""
-        if not self.watching:
+        """Ask for changes from here on, until a call fails; for the whole list where none is held yet."""
+        if not self.watching and not self.closed:
             self.watching = True
-            self._call(f"?after={self.index}&wait_ms={WAIT_MS}")
+            self._call()
+
+    def close(self) -> None:
+        """End the watch for good; a late answer or failure of it touches nothing."""
+        self.closed = True
+        if self.asked is not None:
+            self.asked.cancel()
+        self.pool.closeCachedConnections()
 
-    def _call(self, query: str) -> None:
+    def _call(self) -> None:
+        query = "" if self.index is None else f"?after={self.index}&wait_ms={WAIT_MS}"
         asked: Deferred[Any] = self.agent.request(b"GET", (self.base + query).encode())
+        self.asked = asked
         asked.addCallback(self._read)
         asked.addTimeout(WAIT_MS / 1000 + GRACE, self.reactor)  # type: ignore[arg-type]
         asked.addCallbacks(self._answered, self._failed)
@@ -65,19 +79,22 @@
         return body
 
     def _answered(self, body: bytes) -> None:
+        if self.closed:  # guards against the list of a discovery that another has taken over from
+            return
         try:
             roster = msgspec.json.decode(body, type=Roster)
         except msgspec.MsgspecError as error:
             self._lost(f"answer not understood: {error}")
             return
-        if not roster.snapshot and roster.index < self.index:
+        if not roster.snapshot and self.index is not None and roster.index < self.index:
             # Guards against changes that no longer follow on from the list held here.
             log.warning("farm list went back from %d to %d: asking for all of it", self.index, roster.index)
-            self._call("")
+            self.index = None
+            self._call()
             return
         self.index = roster.index
         # The next call goes out before the list is told: a watch goes on only if it comes within 200 ms.
-        self._call(f"?after={self.index}&wait_ms={WAIT_MS}")
+        self._call()
         self._tell(api.MembershipKind.FULL if roster.snapshot else api.MembershipKind.CHANGES, roster)
 
     def _failed(self, failure: Failure) -> None:
@@ -85,6 +102,9 @@
 
     def _lost(self, why: str) -> None:
         self.watching = False
+        self.asked = None
+        if self.closed:
+            return
         log.warning("farm list lost: %s", why)
         self.tell(api.Membership(api.MembershipKind.LOST), {})
 
--- a/scaledeal/net/proxy_pass.py
+++ b/scaledeal/net/proxy_pass.py
@@ -47,8 +47,8 @@
 class Peer(Protocol):
     """The user agent's connection."""
 
-    def stands(self, link: LineLink, line: bytes) -> None:
-        """Pass on the answer; from here on lines go both ways."""
+    def stands(self, link: LineLink, line: bytes) -> bool:
+        """Pass on the answer; from here on lines go both ways. Tell whether the client is still there."""
 
     def pass_on(self, line: bytes) -> None:
         """Pass a line on to the client."""
@@ -174,8 +174,11 @@
         if word == wording.UP:
             self._stop_timer()
             self.stage = Stage.STANDING
-            self.peer.stands(self.link, line)
-            self.events.established()
+            if self.peer.stands(self.link, line):
+                self.events.established()
+            else:
+                # Guards against a connection that stands for nobody, where the module may not cancel.
+                self._stop(api.Result.CANCELLED)
         elif word == wording.LOAD:
             self._load(line)
         else:
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -8,6 +8,7 @@
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory
 
+from scaledeal.net import config as told
 from scaledeal.net.buffers import BufferPool
 from scaledeal.net.config import Config
 from scaledeal.net.driver import Driver
@@ -52,9 +53,9 @@
         trade = Trade(reactor, BufferPool(), self.driver.now, report_reader(document.report.fields),
                       int(document.caps.dial_timeout))
         self.driver.prober = HealthProbes(trade, int(document.caps.idle_close), self.driver.post)
-        self.farm = Farm(reactor, config.discovery.host, config.discovery.port, document.failure_domains,
-                         Calendar(time.monotonic_ns(), time.time_ns()), self.driver.listed)
-        self.driver.watch = self.farm.watch
+        self.calendar = Calendar(time.monotonic_ns(), time.time_ns())
+        self.farm = self._farm()
+        self.driver.watch = lambda: self.farm.watch()
         classes = {entry.name: number for number, entry in enumerate(document.classes)}
         self.door = Door(Reception(trade, classes, self.driver.take))
         self.port: Port | None = None
@@ -68,6 +69,35 @@
         log.info("relay %s listens on %s:%d, %d application servers known", self.config.name, listen.host,
                  self.port.getHost().port, len(self.config.known.endpoints))
 
+    def _farm(self) -> Farm:
+        where = self.config.discovery
+        return Farm(self.reactor, where.host, where.port, self.config.document.failure_domains, self.calendar,
+                    self.driver.listed)
+
+    # A new configuration
+
+    def reload(self) -> None:
+        """Read the file again; a discovery at another address takes over, connections and requests go on."""
+        if self.port is None:
+            return
+        try:
+            self.config, before = told.read_again(self.config), self.config
+        except told.ConfigError as error:
+            # Guards against a half-written file that takes a running relay along.
+            log.warning("configuration not taken, the old one stays in force: %s",
+                        str(error).replace("\n", " "))
+            return
+        if self.config.discovery == before.discovery:
+            log.info("configuration read again: discovery stays as it is")
+            return
+        where = self.config.discovery
+        log.info("configuration read again: discovery is now at %s:%d", where.host, where.port)
+        self.farm.close()
+        # Guards against a list that stays as old as the last call: the new discovery is asked at once, and
+        # for all of it, as the old one's versions mean nothing there.
+        self.farm = self._farm()
+        self.farm.watch()
+
     # The end
 
     def drain(self) -> None:
@@ -104,5 +134,6 @@
         if self.port is not None:
             self.port.stopListening()
             self.port = None
+            self.farm.close()
             log.info("stopped: %d requests and connections were left", len(self.driver.transactions))
             self.reactor.stop()
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -161,8 +161,10 @@
 
     # What the proxy pass calls
 
-    def stands(self, link: LineLink, line: bytes) -> None:
-        """Pass on the answer; from here on lines go both ways."""
+    def stands(self, link: LineLink, line: bytes) -> bool:
+        """Pass on the answer; from here on lines go both ways. Tell whether the client is still there."""
+        if self.stage is not Stage.ASKED:
+            return False
         self.stage = Stage.STANDING
         self.send(line)
         self.paired_with(link)
@@ -172,6 +174,7 @@
             self.line_came(each)
         if early and self.wire is not None and not self.closing:
             self.wire.resumeProducing()
+        return True
 
     def pass_on(self, line: bytes) -> None:
         """Pass a line on to the client."""
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 from netfakes import MS, Bench, Wire
 from twisted.internet import error
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.task import Clock
 
 from scaledeal import interface as api
-from scaledeal.net import wording
+from scaledeal.net import farm, wording
 from scaledeal.net.buffers import LINE, BufferPool
 from scaledeal.net.delays import Delays
 from scaledeal.net.lines import LINGER, STALL, LineLink
@@ -318,3 +322,48 @@
     link.line_came = fail  # type: ignore[method-assign]
     with pytest.raises(RuntimeError):
         link.dataReceived(b"x\r\n")
+
+
+class Calls:
+    """Stands in for an HTTP client; answers come when the test gives them."""
+
+    def __init__(self) -> None:
+        self.out: list[tuple[str, Deferred[object]]] = []
+
+    def request(self, method: bytes, url: bytes) -> Deferred[object]:
+        call: Deferred[object] = Deferred(lambda _: None)  # one that does not stop when it is cancelled
+        self.out.append((url.decode(), call))
+        return call
+
+
+def a_farm() -> tuple[farm.Farm, list[api.MembershipKind]]:
+    told: list[api.MembershipKind] = []
+    made = farm.Farm(Clock(), "127.0.0.1", 1, (), Calendar(0, 0), lambda event, _: told.append(event.kind))
+    made.agent = Calls()
+    return made, told
+
+
+def test_a_farm_that_another_took_over_from_tells_nothing_more(monkeypatch):
+    # Guards against the old discovery's late answer, or its failure, reaching the module after the new list.
+    monkeypatch.setattr(farm, "readBody", lambda response: succeed(response.body))
+    for late in (succeed, fail):
+        watch, told = a_farm()
+        watch.watch()
+        (url, call), = watch.agent.out
+        assert url.endswith("/catalog/members"), "no version is known there yet"
+        watch.close()
+        reply = SimpleNamespace(code=200, body=b'{"index":9,"snapshot":true,"endpoints":[]}')
+        late(reply if late is succeed else ConnectionError("reset")).addCallbacks(call.callback, call.errback)
+        watch.watch()
+        assert told == [] and len(watch.agent.out) == 1
+
+
+def test_the_version_of_a_list_is_kept_over_a_failed_call(monkeypatch):
+    monkeypatch.setattr(farm, "readBody", lambda response: succeed(response.body))
+    watch, told = a_farm()
+    watch.watch()
+    watch.agent.out[0][1].errback(ConnectionError("refused"))
+    watch.watch()
+    watch.agent.out[1][1].callback(SimpleNamespace(code=200, body=b'{"index":9,"endpoints":[]}'))
+    assert [url.partition("members")[2] for url, _ in watch.agent.out] == ["", "", "?after=9&wait_ms=10000"]
+    assert told == [api.MembershipKind.LOST, api.MembershipKind.FULL]
