Bound the descriptors and time of clients that never ask, and check each figure of OPEN

CPU was ruled out: 0.8 s in all. At fault: user_agent.py (FIRST_LINE, CHECKED, no bound on descriptors; any figure but d was passed on). Changed: Lobby owns the descriptors, the oldest silent client gives way; 2.5 s for a first line; OPEN's id, d, h and t are checked, an id that is open here is refused; what a rejected client sends on is dropped up to 256 KiB; connections are taken 16 at a time. One counted log line in 10 s.

--- a/scaledeal/net/config.py
+++ b/scaledeal/net/config.py
@@ -25,11 +25,16 @@
     port: int
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    sockets: int = 0
+
+
 class _File(msgspec.Struct, frozen=True):
     name: str = ""
     listen: str = ""
     discovery: str = ""
     seed: str | int = ""
+    limits: _Limits = _Limits()
     known: Roster = Roster()
     settings: Document = Document()
 
@@ -41,6 +46,7 @@
     listen: Address
     discovery: Address
     seed: int
+    sockets: int  # descriptors that this process may hold; 0 where that is not stated
     known: Roster
     document: Document
     settings: api.Settings
@@ -85,6 +91,7 @@
         listen=address(environment.get("PROXY_LISTEN") or file.listen, "PROXY_LISTEN"),
         discovery=address(environment.get("PROXY_DISCOVERY") or file.discovery, "PROXY_DISCOVERY"),
         seed=_seed(file.seed),
+        sockets=file.limits.sockets,
         known=file.known,
         document=file.settings,
         settings=settings,
--- a/scaledeal/net/lines.py
+++ b/scaledeal/net/lines.py
@@ -17,6 +17,7 @@
 END = b"\r\n"
 READ = 2 * LINE  # bytes read at once, and bytes queued for a slow peer before the other side pauses
 LINGER = 0.9  # seconds that a peer gets to take the last lines before its connection is reset
+DISCARDED = 1 << 18  # bytes read and dropped while closing; then a peer that sends on is not read any more
 STALL = 10.0  # seconds that a peer may take nothing while lines wait for it
 
 
@@ -36,6 +37,7 @@
         self._timer: Timer | None = None  # the linger while closing, the stall while the sink takes nothing
         self._sink: LineLink | None = None
         self._peer_ended = False
+        self._discarded = 0
 
     # What a subclass fills in
 
@@ -120,6 +122,9 @@
         self.link_up()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, D102
+        if self.closing:
+            self._discard(len(data))
+            return
         if self._part is not None:
             data = bytes(memoryview(self._part)[:self._filled]) + data
             self._give_back()
@@ -156,6 +161,12 @@
         self._give_back()
         self.link_lost(reason.check(error.ConnectionDone, error.ConnectionAborted) is None)
 
+    def _discard(self, count: int) -> None:
+        # Guards against a peer that has 60 MB to send after its last answer: reading it is of no use.
+        self._discarded += count
+        if self._discarded > DISCARDED and self.wire is not None:
+            self.wire.pauseProducing()
+
     def _begin_closing(self) -> Timer | None:
         if self.wire is None or self.closing:
             return None
--- /dev/null
+++ b/scaledeal/net/lobby.py
@@ -0,0 +1,105 @@
+"""The one owner of the relay's descriptors: which clients without a request may stay, and for how long.
+
+A client with a request needs two descriptors, its own and its proxy pass's. Whoever has not asked yet, or
+was turned away and has not closed, is in the lobby: it gets what is left; when that is too little, the oldest
+has to go.
+"""
+
+from __future__ import annotations
+
+import logging
+import resource
+from collections import Counter
+from collections.abc import Callable
+from typing import Protocol
+
+from scaledeal.net.ports import Reactor, Timer
+
+log = logging.getLogger("scaledeal.lobby")
+
+OWN = 48  # descriptors for the listener, the log, discovery, the health probes and those below
+CLOSING = 16  # of these, for guests that were told to go and are not closed yet; clients taken in one go
+LOBBY_SHARE = 5  # the lobby is kept to this part of all descriptors, as far as that is fair
+FAIR = 0.25  # seconds that a newcomer gets to ask before it has to give way
+UNSTATED = 1024  # descriptors where neither the configuration nor the system says
+SUMMARY = 10.0  # seconds between two log lines on who was turned away
+
+
+class Guest(Protocol):
+    """A client's connection in the lobby."""
+
+    def give_way(self) -> None:
+        """Close now: the descriptor is needed."""
+
+
+def most_descriptors(stated: int) -> int:
+    """Return how many descriptors there are: what is stated, unless the system allows less."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    allowed = soft if soft != resource.RLIM_INFINITY else UNSTATED
+    return min(stated, allowed) if stated > 0 else min(allowed, UNSTATED)
+
+
+class Lobby:
+    """Counts clients, lets them in and has the oldest silent one give way."""
+
+    def __init__(self, reactor: Reactor, most: int, now: Callable[[], int]) -> None:
+        self.reactor = reactor
+        self.most = most
+        self.now = now
+        self.guests: dict[Guest, int] = {}  # who is in the lobby, and since when; the oldest first
+        self.going: set[Guest] = set()  # who was told to go
+        self.asked = 0  # clients with a request or a connection that stands
+        self.turned_away: Counter[str] = Counter()
+        self._timer: Timer | None = None
+
+    def room(self) -> bool:
+        """Make room for one more client; False if there is no descriptor for it."""
+        # Guards against hundreds of silent connections taking the descriptors of those who ask.
+        while self.guests and (self._full() or self._crowded()):
+            oldest = next(iter(self.guests))
+            del self.guests[oldest]
+            self.going.add(oldest)
+            self.count("gave way")
+            oldest.give_way()
+        if self._full():
+            self.count("no descriptor left")
+            return False
+        return True
+
+    def enter(self, guest: Guest) -> None:
+        """Take a new client."""
+        self.guests[guest] = self.now()
+
+    def has_asked(self, guest: Guest) -> None:
+        """Hear that a guest has a request: it has left the lobby."""
+        self.leave(guest)
+        self.asked += 1
+
+    def has_ended(self) -> None:
+        """Hear that the connection of a client that had asked is over."""
+        self.asked -= 1
+
+    def leave(self, guest: Guest) -> None:
+        """Hear that a guest's connection is over."""
+        self.guests.pop(guest, None)
+        self.going.discard(guest)
+
+    def count(self, why: str) -> None:
+        """Count a client that was turned away; a line for each would be a second flood."""
+        self.turned_away[why] += 1
+        if self._timer is None:
+            self._timer = self.reactor.callLater(SUMMARY, self._tell)
+
+    def _full(self) -> bool:
+        going = max(0, len(self.going) - CLOSING)
+        return len(self.guests) + 1 + going + 2 * self.asked + OWN > self.most
+
+    def _crowded(self) -> bool:
+        longest = self.now() - next(iter(self.guests.values()))
+        return len(self.guests) >= self.most // LOBBY_SHARE and longest > FAIR * 1e9
+
+    def _tell(self) -> None:
+        self._timer = None
+        told = ", ".join(f"{count} {why}" for why, count in sorted(self.turned_away.items()))
+        self.turned_away.clear()
+        log.info("turned away in %d s: %s", SUMMARY, told)
--- a/scaledeal/net/ports.py
+++ b/scaledeal/net/ports.py
@@ -19,6 +19,9 @@
 class Port(Protocol):
     """A listening socket."""
 
+    def startListening(self) -> None:  # noqa: N802
+        """Open it."""
+
     def getHost(self) -> Any:  # noqa: N802
         """Return the address, with the port in fact taken."""
 
@@ -72,9 +75,6 @@
     def callLater(self, delay: float, call: Callable[..., object], *args: Any) -> Timer:  # noqa: N802
         """Call after so many seconds."""
 
-    def listenTCP(self, port: int, factory: Any, backlog: int, interface: str) -> Port:  # noqa: N802
-        """Listen."""
-
     def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> Connector:  # noqa: N802
         """Open a connection."""
 
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -4,7 +4,9 @@
 
 import logging
 import time
+from typing import Any, cast
 
+from twisted.internet import tcp
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory
 
@@ -14,6 +16,7 @@
 from scaledeal.net.driver import Driver
 from scaledeal.net.farm import Farm
 from scaledeal.net.health_probe import HealthProbes
+from scaledeal.net.lobby import CLOSING, Lobby, most_descriptors
 from scaledeal.net.ports import Port, Reactor
 from scaledeal.net.proxy_pass import Trade
 from scaledeal.net.roster import Calendar
@@ -38,8 +41,21 @@
     def __init__(self, reception: Reception) -> None:
         self.reception = reception
 
-    def buildProtocol(self, addr: IAddress | None) -> UserAgent:  # noqa: N802, D102
-        return UserAgent(self.reception)
+    def buildProtocol(self, addr: IAddress | None) -> UserAgent | None:  # noqa: N802, D102
+        # Without a protocol the transport closes the socket at once: nothing is cheaper.
+        return UserAgent(self.reception) if self.reception.lobby.room() else None
+
+
+class Gate(tcp.Port):
+    """The listening socket.
+
+    Guards against a burst of connections that is taken whole before the first line of any is read, and before
+    those that gave way are closed: the usual clients among them would find no descriptor.
+    """
+
+    def doRead(self) -> None:  # noqa: N802, D102
+        self.numberAccepts = min(self.numberAccepts, CLOSING)
+        cast(Any, super()).doRead()
 
 
 class Relay:
@@ -57,7 +73,8 @@
         self.farm = self._farm()
         self.driver.watch = lambda: self.farm.watch()
         classes = {entry.name: number for number, entry in enumerate(document.classes)}
-        self.door = Door(Reception(trade, classes, self.driver.take))
+        lobby = Lobby(reactor, most_descriptors(config.sockets), self.driver.now)
+        self.door = Door(Reception(trade, classes, max(1, len(document.accounts)), lobby, self.driver.take))
         self.port: Port | None = None
 
     def start(self) -> None:
@@ -65,7 +82,8 @@
         self.farm.start_with(self.config.known)
         self.driver.look_round()
         listen = self.config.listen
-        self.port = self.reactor.listenTCP(listen.port, self.door, BACKLOG, listen.host)
+        self.port = cast(Port, cast(Any, Gate)(listen.port, self.door, BACKLOG, listen.host, self.reactor))
+        self.port.startListening()
         log.info("relay %s listens on %s:%d, %d application servers known", self.config.name, listen.host,
                  self.port.getHost().port, len(self.config.known.endpoints))
 
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -9,13 +9,15 @@
 
 from scaledeal.net import wording
 from scaledeal.net.lines import LineLink
-from scaledeal.net.proxy_pass import ProxyPass, Trade
+from scaledeal.net.lobby import Lobby
+from scaledeal.net.proxy_pass import SECOND, ProxyPass, Trade
 from scaledeal.net.sides import Agent, Ask, PassEvents
 from scaledeal.net.transaction import Transaction
 
-LONGEST_WAIT = 10**9  # ms; guards against a wait that no timer can hold
-FIRST_LINE = 10.0  # seconds that a new connection may stay without a whole first line
-CHECKED = 60.0  # seconds that one may stay open between two PINGs
+FIRST_LINE = 2.5  # seconds that a client may stay without a whole first line, or between two PINGs
+PINGS = 16  # PINGs taken in that time; more are a flood
+EARLY = 16  # lines taken before the answer; more are a flood
+STOOD = 40_000  # ms after which a connection from before the start that is not up again is lost
 
 
 class Stage(Enum):
@@ -32,7 +34,10 @@
 
     trade: Trade
     classes: dict[str, int]
+    tenants: int
+    lobby: Lobby
     take: Callable[[Ask, Agent], Transaction]
+    ids: set[str] = msgspec.field(default_factory=set)  # of the requests and connections that are open here
 
 
 class UserAgent(LineLink):
@@ -47,12 +52,15 @@
         self.transaction: Transaction | None = None
         self.current: ProxyPass | None = None
         self.early: list[bytes] = []  # lines that came before the answer
+        self.pings, self.pinged_since = 0, 0  # PINGs since then
+        self.asked = False
 
     # The client's lines
 
     def link_up(self) -> None:
-        """Guard against a client that never says anything."""
-        self._set_timer(FIRST_LINE, self.reset)
+        """Guard against a client that never says anything, or only ever half of it."""
+        self.reception.lobby.enter(self)
+        self._set_timer(FIRST_LINE, self._too_late)
 
     def line_came(self, line: bytes) -> None:
         """Take a line of the client's."""
@@ -62,20 +70,23 @@
             self._first(line)
         elif self.stage is Stage.ASKED:
             self.early.append(line)
-            if self.wire is not None:
+            if len(self.early) > EARLY:
+                self._leave(False)
+                self._reject("flooded")
+            elif self.wire is not None:
                 self.wire.pauseProducing()
 
     def bad_line(self) -> None:
         """Answer a line that is too long."""
         if self.stage is Stage.FIRST:
-            self._reject()
+            self._reject("line too long")
         else:
             self.reset()
 
     def sending_ended(self) -> None:
         """Hear that the client ended its sending: as with an attempt, it gives up what it asked for."""
         if self.stage is Stage.FIRST:
-            self._reject()
+            self._reject("never asked")
         elif self.stage is Stage.ASKED:
             self._leave(False)
             self.send(wording.ERR)
@@ -87,43 +98,82 @@
     def link_lost(self, broke: bool) -> None:
         """Hear that the connection is over."""
         self._leave(broke)
+        if self.asked:
+            self.reception.lobby.has_ended()
+        else:
+            self.reception.lobby.leave(self)
+
+    def give_way(self) -> None:
+        """Close now: others need the descriptor."""
+        self.reset()
 
     def _first(self, line: bytes) -> None:
         if line == wording.PING:
-            self.send(wording.PONG)
-            self._set_timer(CHECKED, self.end)
+            self._ping()
+            return
+        read, reception = wording.read_open(line), self.reception
+        number = reception.classes.get(read.get("c")) if read else None
+        if read is None or number is None or int(read.get("t") or 0) >= reception.tenants:
+            self._reject("no request")
             return
-        read = wording.read_open(line)
-        number = self.reception.classes.get(read.get("c")) if read else None
-        if read is None or number is None:
-            self._reject()
+        if read.id in reception.ids:
+            # Guards against a client under another's id: servers turn it away, and that speaks against them.
+            self._reject("id in use")
             return
         self._stop_timer()
-        self.stage, self.open_line = Stage.ASKED, read
-        now = self.reception.trade.now()
-        self.transaction = self.reception.take(Ask(
+        self.stage, self.open_line, self.asked = Stage.ASKED, read, True
+        reception.ids.add(read.id)
+        reception.lobby.has_asked(self)
+        now, wait = reception.trade.now(), int(read.get("d"))
+        if read.get("at"):
+            wait = min(wait, STOOD)  # guards against one that waits for hours for a server that no list names
+        self.transaction = reception.take(Ask(
             request_class=number,
-            deadline=now + min(int(read.get("d")), LONGEST_WAIT) * wording.MS,
+            deadline=now + wait * wording.MS,
             key=read.key,
             group=read.get("g"),
-            tenant=int(wording.number(read.get("t"))),
+            tenant=int(read.get("t") or 0),
             returning=read.get("again") == "1",
             load_hint=wording.number(read.get("h")) / 1000,  # nanoseconds a second, as in the simulator
             standing_at=read.get("at"),
         ), self)
 
-    def _reject(self) -> None:
+    def _ping(self) -> None:
+        now = self.reception.trade.now()
+        if now - self.pinged_since > FIRST_LINE * SECOND:
+            self.pinged_since, self.pings = now, 0
+        self.pings += 1
+        if self.pings > PINGS:
+            self._reject("flooded")
+        else:
+            self.send(wording.PONG)
+            self._set_timer(FIRST_LINE, self.end)
+
+    def _too_late(self) -> None:
+        self._reject("too late")
+
+    def _reject(self, why: str) -> None:
         """Answer what is no request."""
+        self.reception.lobby.count(why)
+        self._stop_timer()
         self.stage = Stage.OVER
         self.send(wording.ERR)
         self.end()
 
     def _leave(self, broke: bool) -> None:
-        self.stage = Stage.OVER
-        transaction, self.transaction = self.transaction, None
+        transaction = self._over()
         if transaction is not None:
             transaction.gone(broke)
 
+    def _over(self) -> Transaction | None:
+        """Be done with the transaction: the one place where its id is given back."""
+        self.stage = Stage.OVER
+        transaction, self.transaction = self.transaction, None
+        if self.open_line is not None:
+            self.reception.ids.discard(self.open_line.id)
+            self.open_line = None
+        return transaction
+
     # What the transaction calls
 
     def begin_pass(self, address: str, wait: int, events: PassEvents) -> ProxyPass:
@@ -148,14 +198,14 @@
 
     def ended(self, broke: bool) -> None:
         """Close as the application server's side did."""
-        self.stage, self.transaction = Stage.OVER, None
+        self._over()
         if broke:
             self.reset()
         else:
             self.end()
 
     def _answer(self, line: bytes) -> None:
-        self.stage, self.transaction = Stage.OVER, None
+        self._over()
         self.send(line)
         self.end()
 
--- a/scaledeal/net/wording.py
+++ b/scaledeal/net/wording.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 
 import msgspec
@@ -12,6 +13,10 @@
 _REPORTED = {"eps": "fail_rate", "inflight": "rif", "util": "busy", "queue": "q", "latency_ms": "lat_ms",
              "qps": "rate"}
 MS = 1_000_000
+LONGEST_WAIT = 86_400_000  # ms; no client waits longer than a day
+_ID = re.compile(r"[0-9A-Za-z][0-9A-Za-z_.:-]{0,127}")
+_FIGURE = re.compile(r"[0-9]{1,15}(\.[0-9]{1,18})?([eE][+-]?[0-9]{1,2})?")
+_COUNT = re.compile(r"[0-9]{1,9}")
 
 
 class OpenLine(msgspec.Struct, frozen=True):
@@ -19,36 +24,45 @@
 
     head: bytes
     key: str
-    names: tuple[tuple[str, str], ...]
+    names: dict[str, str]
 
     def get(self, name: str) -> str:
         """Return a named value, or nothing."""
-        return next((value for known, value in self.names if known == name), "")
+        return self.names.get(name, "")
+
+    @property
+    def id(self) -> str:
+        """Return the id of the connection."""
+        return self.head.split(b" ")[1].decode()
 
     def with_wait(self, wait: int) -> bytes:
         """Return the line with ``d`` at so many nanoseconds and all else unchanged."""
         told = str(max(1, wait // MS))
-        values = ",".join(f"{name}={told if name == 'd' else value}" for name, value in self.names)
+        values = ",".join(f"{name}={told if name == 'd' else value}" for name, value in self.names.items())
         return self.head + values.encode()
 
 
 def read_open(line: bytes) -> OpenLine | None:
-    """Read a client's first line; None if it is none."""
-    try:
-        parts = line.decode("ascii").split(" ")
-    except UnicodeDecodeError:
-        return None
-    if len(parts) != 4 or parts[0] != "OPEN" or not all(parts) or not line.isascii():
+    """Read a client's first line; None if it is none, or if a figure in it is no such figure.
+
+    Guards against a request that an application server can't use: one that is sent on all the same is tried
+    again elsewhere, and its errors speak against servers that are sound.
+    """
+    parts = line.decode("ascii", "replace").split(" ")
+    if len(parts) != 4 or parts[0] != "OPEN" or not line.isascii() or not all(map(str.isprintable, parts)):
         return None
-    names = []
+    names: dict[str, str] = {}
     for pair in parts[3].split(","):
         name, equals, value = pair.partition("=")
-        if not (name and equals):
+        if not (name and equals) or name in names:
             return None
-        names.append((name, value))
+        names[name] = value
+    figures = _FIGURE.fullmatch(names.get("h", "0")) and _COUNT.fullmatch(names.get("t", "0"))
+    wait = names.get("d", "")
+    if not (_ID.fullmatch(parts[1]) and parts[2] and figures and names.get("c") and _COUNT.fullmatch(wait)):
+        return None
     head = " ".join(parts[:3]).encode() + b" "
-    read = OpenLine(head, parts[2], tuple(names))
-    return read if read.get("c") and read.get("d").isdecimal() else None
+    return OpenLine(head, parts[2], names) if 0 < int(wait) <= LONGEST_WAIT else None
 
 
 def number(text: str) -> float:
