Tell silent connections from hung servers, give reports an age, work backlogs off

So the loss is the module's, but for what it is told of silence: Delays knew only servers, so one stream that stopped short was told as its server's hang, and each answer to another client took that back. Changed: (1) transaction.py, delays.py: a connection without an answer for 1 s, at a server that has answered later messages, is told as SILENT; the module moves that client. (2) One standing connection that breaks alone is no strike. (3) A report counts from the load of two ticks before it came. (4) While few servers are in trouble and nothing is refused, a saturated one may lose a fifth a tick, as much as works its backlog off in 2 s.

--- a/scaledeal/interface.py
+++ b/scaledeal/interface.py
@@ -69,6 +69,7 @@
 
     LOAD = "load"
     DELAY = "delay"
+    SILENT = "silent"
 
 
 class Field(Enum):
@@ -241,7 +242,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Note:
-    """News of an open connection: its load (us of work a second) or a message's time (ms)."""
+    """News of an open connection.
+
+    Its load (us of work a second), the time (ms) that a message takes at its server, or for how long (ms) it
+    alone has returned nothing while its server answers others.
+    """
 
     request: str
     attempt: int
--- a/scaledeal/net/delays.py
+++ b/scaledeal/net/delays.py
@@ -21,6 +21,15 @@
         self.least = min((aim for aim in aims if aim > 0), default=0.0) / SHARE
         self.now = now
         self.slow: dict[str, int] = {}  # servers last told of as slow, and when
+        self.answered: dict[str, int] = {}  # when the latest message that a server has answered was passed on
+
+    def answer(self, server: str, took: int) -> None:
+        """Hear that a server has answered a message after so long."""
+        self.answered[server] = max(self.answered.get(server, 0), self.now() - took)
+
+    def answers_since(self, server: str, moment: int) -> bool:
+        """Tell whether a server has answered a message that was passed on after this moment."""
+        return self.answered.get(server, 0) > moment
 
     def news(self, server: str, took: int) -> bool:
         """Tell whether this time of a message is to be passed on."""
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -17,6 +17,7 @@
 
 MS = 1_000_000
 UNANSWERED = 250 * MS  # a message without an answer for so long is news before its answer comes
+STALLED = 1000 * MS  # a connection without an answer for so long, at a server that answers others, is silent
 SILENT = 6000 * MS  # a connection that returns nothing for so long is taken as broken; 7 s are allowed
 SLACK = 10_000_000  # ns after the deadline at which a request that nobody answered is answered here
 
@@ -68,6 +69,7 @@
         self.current: Pass | None = None
         self.server = ""
         self.began = 0
+        self.told_silent = 0  # since when the message waits whose silence the module was told of
         self.timer: Timer | None = desk.later(max(0, ask.deadline - desk.now()) + SLACK, self._answer_owed)
 
     # The decision module's actions
@@ -129,6 +131,10 @@
 
     def message_took(self, took: int) -> None:
         """Pass on how long a message took, where that is news."""
+        self.desk.delays.answer(self.server, took)
+        self._delay(took)
+
+    def _delay(self, took: int) -> None:
         if self.desk.delays.news(self.server, took):
             self.note(api.NoteKind.DELAY, took / MS)
 
@@ -140,8 +146,12 @@
         if now - since >= SILENT:
             self.desk.silent(self)
             self.current.break_off()
-        elif now - since >= UNANSWERED:
-            self.message_took(now - since)
+        elif now - since >= UNANSWERED and not self.desk.delays.answers_since(self.server, since):
+            self._delay(now - since)
+        elif now - since >= STALLED and self.told_silent != since:
+            # Guards against one connection that fell silent being told as a server that hangs.
+            self.told_silent = since
+            self.note(api.NoteKind.SILENT, (now - since) / MS)
 
     def note(self, kind: api.NoteKind, amount: float) -> None:
         """Tell the module news of the connection."""
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -38,6 +38,7 @@
 # Health
 BACK_OFF = SECOND  # a suspect's first time out of the ready set; doubles with each failure
 BACK_OFF_DOUBLINGS = 3
+REPORT_AGE = 2  # ticks that a report is old, at a guess, when it comes
 NEWS_LASTS = 3 * SECOND  # a report or note of trouble older than this says nothing
 
 # Attempts
@@ -54,6 +55,8 @@
 PROBE_BURST = 10.0
 DRAIN_WAIT = SECOND  # time that a draining server gets to send its clients away itself
 MOVE_SHARE = 0.1  # share of a troubled server's connections that may be moved in a tick
+CALM_SHARE = 0.2  # the same while few servers are in trouble and nothing is refused
+DRAINED = 2000.0  # ms in which a saturated server is to work off what has piled up
 HUNG = 2000.0  # ms that a message takes at a server that answers nothing at all
 HUNG_SHARE = 0.35  # share of such a server's connections that are moved in a tick
 SHED_SHARE = 0.05  # share of a saturated server's connections cut in a tick while the ladder polices
@@ -125,11 +128,13 @@
     reported: float = -1.0  # utilisation last reported, and when, and own load at that time
     reported_at: int = 0
     load_then: float = 0.0
+    past: list[float] = field(default_factory=list)  # own load at the last ticks, the oldest first
     delay: float = 0.0  # ms that a message takes, while that is long
     delay_at: int = 0
     limit: float = 0.0  # without reports: own load at which its messages last turned slow, 0 while unknown
     troubled_since: int = 0
     strikes: int = 0
+    broke_at: int = 0  # when an open connection of it last broke
     suspect_until: int = 0
     groups: dict[str, int] = field(default_factory=dict)  # connections it holds of each group
     leaving: frozenset[str] = frozenset()  # groups it is to lose, as it is asked too much
@@ -371,7 +376,8 @@
             return
         server.reported, server.reported_at = value, self.now
         self.known[server.id] = server
-        server.load_then = self._own_load(server)
+        # Guards against a report taken for the present: it tells of the load before what was moved since.
+        server.load_then = server.past[0] if server.past else self._own_load(server)
         inflight = told.get(api.Field.INFLIGHT, 0.0)
         if value > 0.05 and inflight and not self._cold(server):
             unit = inflight * self._mean_charge() / value / server.weight
@@ -382,6 +388,12 @@
         server = self.servers.get(event.server)
         if flight is None or server is None or event.request not in server.open:
             return
+        if event.kind is api.NoteKind.SILENT:
+            # Guards against a client left at a connection that fell silent while its server answers others.
+            if flight.opened and not flight.answered:
+                flight.answered = True
+                self.out.append(api.Move(flight.id))
+            return
         if event.kind is api.NoteKind.DELAY:
             if event.amount >= server.delay:
                 server.limit = self._own_load(server)
@@ -597,9 +609,14 @@
             server.pending -= 1
             self.pending -= 1
         if event.result in _SERVER_FAULTS:
-            self._strike(server)
-            if not flight.opened:
+            # Guards against a sound server left out for a connection that broke alone: its others stand.
+            alone = flight.opened and self.now - server.broke_at > SECOND
+            if flight.opened:
+                server.broke_at = self.now
+            else:
                 self.window = max(self.least_window, self.window / 2)
+            if not alone:
+                self._strike(server)
         if flight.opened or event.last or flight.answered:
             self._drop(flight)
         else:
@@ -681,6 +698,8 @@
             self.watch_at = 0
             self.out.append(api.Watch())
         self._retry_held(len(self.held))
+        for server in self.known.values():
+            server.past = [*server.past[1 - REPORT_AGE:], self._own_load(server)]
         if self.probes >= 1:
             self._probe(sorted(self.live, key=lambda s: s.probe_at))
         self._sample()
@@ -728,11 +747,13 @@
     def _move(self) -> None:
         """Have saturated servers lose groups, the same ones at every gateway, a few connections at a time."""
         saturated = sum(1 for s in self.known.values() if self._saturated(s))
+        calm = self.ladder.rung == 0 and 3 * saturated <= len(self.known)
         for server in list(self.known.values()):
             if not self._saturated(server) or server.state is not api.ServerState.LIVE:
                 server.troubled_since, server.leaving = 0, frozenset()
                 silent = not server.open and self._utilisation(server) is None
                 if silent or server.state is not api.ServerState.LIVE:
+                    server.past = []
                     del self.known[server.id]
                 continue
             server.troubled_since = server.troubled_since or self.now
@@ -744,11 +765,14 @@
             going: list[Flight] = []
             if asked is not None or 2 * saturated <= len(self.known):
                 trouble = LOSE_SHARE * (self.now - server.troubled_since) / SECOND
-                excess = 1 - 0.8 / asked if asked and asked > 1 else trouble
+                if calm:
+                    # Guards against clients that earn nothing while a backlog is worked off only slowly.
+                    trouble = max(trouble, 1 - max(0.2, 0.8 - server.delay / DRAINED) / (asked or 1.0))
+                excess = max(trouble, 1 - 0.8 / asked) if asked and asked > 1 else trouble
                 worst = sorted(server.groups, key=lambda g: (mixed(digest(g), server.number), g))
                 server.leaving = frozenset(worst[: math.ceil(len(worst) * min(1.0, excess))])
                 leaving = (f for f in opened if f.place_key in server.leaving and self._has_room(f, server))
-                going = list(islice(leaving, self._some(len(opened) * MOVE_SHARE)))
+                going = list(islice(leaving, self._some(len(opened) * (CALM_SHARE if calm else MOVE_SHARE))))
             if not going and self.ladder.rung > 0:
                 # Guards against overload that outlives the ladder's refusals: long-lived connections stay on.
                 worths = self.ladder.worths
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from driver import BASE, MS, SECOND, Driver, entries
+from driver import BASE, MS, SECOND, Driver, Job, Try, entries
 
 from scaledeal import interface as api
 from scaledeal.policy import Balancer, Server, digest, rendezvous
@@ -417,3 +417,65 @@
     driver = Driver(REPORTS)
     driver.wait(SECOND // 4)
     assert {probe.server for probe in driver.actions(api.Probe)} == {"s0", "s1", "s2", "s3"}
+
+
+def standing(driver: Driver, server: str, count: int, **more: object) -> list[str]:
+    """Have connections stand at one server from before the start."""
+    names = [f"{server}-{i}" for i in range(count)]
+    for name in names:
+        driver.jobs[name] = job = Job(0, 0)
+        job.stands = True
+        driver.event(api.OpenConnection(name, 0, server, group=f"g-{name}", **more))
+    return names
+
+
+def test_a_connection_that_breaks_alone_leaves_no_server_out():
+    # Guards against a sound server left out for a second or more, and its groups scattered, for one reset.
+    driver = Driver(REPORTS)
+    first, second, *_ = standing(driver, "s1", 5)
+    driver.wait(2 * SECOND)
+    for name, suspected in ((first, False), (second, True)):
+        driver.jobs[name].tries = [Try(driver.list["s1"], driver.now, driver.now)]
+        driver.end(name, api.Result.RESET)
+        assert bool(driver.balancer.servers["s1"].suspect_until > driver.now) is suspected
+
+
+def test_a_silent_connection_is_moved_and_its_server_is_not_blamed():
+    driver = Driver(REPORTS)
+    name, *others = standing(driver, "s1", 5)
+    driver.event(api.Note(name, 0, "s1", api.NoteKind.SILENT, 1100.0))
+    assert [move.request for move in driver.actions(api.Move)] == [name]
+    driver.wait(SECOND)
+    assert not driver.balancer.servers["s1"].strikes and len(driver.actions(api.Move)) == 1
+
+
+def test_a_report_is_taken_for_the_load_of_the_moment_it_tells_of():
+    # Guards against clients moved on and on from a server whose report is older than their moves.
+    driver = Driver(REPORTS)
+    names = standing(driver, "s1", 10)
+    report(driver, s1=1.0)
+    driver.wait(SECOND)
+    for name in names[:5]:
+        driver.event(api.Note(name, 0, "s1", api.NoteKind.SILENT, 1100.0))
+        driver.jobs[name].tries = [Try(driver.list["s1"], driver.now, driver.now)]
+        driver.end(name, api.Result.CANCELLED)
+    report(driver, s1=1.0)  # it left the server before they did
+    server = driver.balancer.servers["s1"]
+    assert driver.balancer._utilisation(server) == pytest.approx(0.5, abs=0.1)
+    driver.wait(SECOND)
+    report(driver, s1=0.5)
+    assert driver.balancer._utilisation(server) == pytest.approx(0.5, abs=0.05)
+
+
+def test_a_backlog_is_worked_off_sooner_while_the_others_have_room():
+    # Guards against clients that earn nothing for seconds while a few at a time are moved.
+    moved = {}
+    for delay in (60.0, 1200.0):
+        driver = Driver(REPORTS, servers=8)
+        names = standing(driver, "s1", 40)
+        report(driver, **{f"s{i}": 1.0 if i == 1 else 0.2 for i in range(8)})
+        for _ in range(4):
+            driver.event(api.Note(names[-1], 0, "s1", api.NoteKind.DELAY, delay))
+            driver.wait(SECOND // 4)
+        moved[delay] = len(driver.actions(api.Move))
+    assert moved[1200.0] >= 14 and moved[1200.0] >= 2 * moved[60.0]
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -23,9 +23,9 @@
 OPEN = b"OPEN 9b1f 7f3a c=browse,d=800,g=5c0f\r\n"
 
 
-def stand(bench: Bench) -> tuple[Wire, Wire, str]:
+def stand(bench: Bench, line: bytes = OPEN) -> tuple[Wire, Wire, str]:
     client = bench.client()
-    client.receive(OPEN)
+    client.receive(line)
     name = bench.module.of(api.Request)[-1].request
     bench.act(api.Send(name, "a", 0))
     server = bench.reactor.dialled[-1].up(bench.reactor)
@@ -192,6 +192,22 @@
     assert server.lost and client.fin_due and bench.module.of(api.Outcome)[0].result is api.Result.RESET
 
 
+def test_one_silent_connection_is_no_server_that_hangs():
+    # Guards against a stream that stopped short being told as a hang of its server, which answers the others.
+    bench = Bench()
+    bench.driver.look_round()
+    silent, server, name = stand(bench)
+    other, answering, _ = stand(bench, OPEN.replace(b"9b1f", b"9b20"))
+    silent.receive(b"M 1\r\n")
+    for _ in range(11):
+        bench.reactor.advance(0.1)
+        other.receive(b"M 2\r\n")
+        answering.receive(b"M 2\r\n")
+    told = bench.module.of(api.Note)
+    assert [(note.request, note.kind) for note in told] == [(name, api.NoteKind.SILENT)]
+    assert told[0].amount >= 1000
+
+
 def test_a_connection_that_answers_is_never_broken_off():
     bench = Bench()
     bench.driver.look_round()
