Blame no server for one broken set-up, and read the load index off ready servers only

Checked with the traces before: each was one set-up whose connection the network had reset, while 5 to 20 connections stood there and answered. Each time its groups went elsewhere for a second and paid 3 loads more there. Changed: one set-up that breaks is no strike where other connections stand, a second in a row is; the index leaves out suspects and servers that drain.

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -135,6 +135,7 @@
     troubled_since: int = 0
     strikes: int = 0
     broke_at: int = 0  # when an open connection of it last broke
+    doubted: bool = False  # whether its last set-up failed
     suspect_until: int = 0
     groups: dict[str, int] = field(default_factory=dict)  # connections it holds of each group
     leaving: frozenset[str] = frozenset()  # groups it is to lose, as it is asked too much
@@ -592,6 +593,7 @@
         self.pending -= 1
         self.window += 1 / self.window
         server.strikes = server.suspect_until = 0
+        server.doubted = False
         self.tenant_open[flight.tenant] += 1
         self.set_up_time += (event.elapsed - self.set_up_time) * (0.1 if self.set_up_time else 1.0)
         # Guards against an estimate blown up by clients that come back after a break: no new demand.
@@ -615,10 +617,13 @@
             self.pending -= 1
         if event.result in _SERVER_FAULTS:
             # Guards against a sound server left out for a connection that broke alone: its others stand.
-            alone = flight.opened and self.now - server.broke_at > SECOND
             if flight.opened:
+                alone = self.now - server.broke_at > SECOND
                 server.broke_at = self.now
             else:
+                alone = event.result in _BREAKS and not server.doubted and any(
+                    f.opened for f in server.open.values())
+                server.doubted = True
                 self.window = max(self.least_window, self.window / 2)
             if not alone:
                 self._strike(server)
@@ -725,7 +730,9 @@
 
     def _sample(self) -> None:
         """Read the load index: probed load where there is any, else the load that slow servers hold."""
-        if known := [min(1.0, u) for s in self.known.values() if (u := self._utilisation(s)) is not None]:
+        # Guards against refusing for servers that take nothing new anyway: the index is of the ready ones.
+        ready = [s for s in self.known.values() if s.state is api.ServerState.LIVE and not self._suspect(s)]
+        if known := [min(1.0, u) for s in ready if (u := self._utilisation(s)) is not None]:
             self.ladder.sample(100 * sum(known) / len(known))
             return
         # Guards against overload that set-ups do not show: they succeed while open connections earn nothing.
@@ -803,4 +810,5 @@
 
 
 _NEVER_RAN = (api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.NOT_SENT)
+_BREAKS = (api.Result.CONNECT_FAILED, api.Result.RESET)
 _SERVER_FAULTS = frozenset(api.Result) - {api.Result.OK, api.Result.CANCELLED, api.Result.NOT_SENT}
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -441,6 +441,38 @@
         assert bool(driver.balancer.servers["s1"].suspect_until > driver.now) is suspected
 
 
+@pytest.mark.parametrize("broke", [api.Result.RESET, api.Result.CONNECT_FAILED])
+def test_one_broken_set_up_leaves_no_server_out_whose_connections_stand(broke):
+    # Guards against groups scattered over others for a second each time that one new connection breaks.
+    driver = Driver(REPORTS, servers=1)
+    driver.arrive("alone")
+    driver.end("alone", broke)
+    assert driver.balancer.servers["s0"].suspect_until > driver.now, "nothing else stands: it may be gone"
+    driver = Driver(REPORTS, servers=2)
+    server = driver.balancer.servers["s1"]
+    standing(driver, "s1", 5)
+    driver.members(api.MembershipKind.CHANGES, (replace(driver.list["s0"], state=api.ServerState.DRAINING),))
+    driver.arrive("first")
+    driver.end("first", broke)
+    assert server.suspect_until == 0
+    while not server.suspect_until and driver.out():
+        driver.end(driver.out()[0], broke)
+    assert server.suspect_until > driver.now, "the second in a row speaks against it"
+
+
+def test_the_index_is_of_servers_that_are_ready():
+    # Guards against refusals for a failing server that gets nothing new: the others have room.
+    driver = Driver(REPORTS, servers=2)
+    report(driver, s0=1.6, s1=0.3)
+    ladder = driver.balancer.ladder
+    driver.balancer._sample()
+    assert ladder.index_sum == pytest.approx(65.0)
+    driver.balancer._strike(driver.balancer.servers["s0"])
+    ladder.index_sum = 0.0
+    driver.balancer._sample()
+    assert ladder.index_sum == pytest.approx(30.0)
+
+
 def test_a_silent_connection_is_moved_and_its_server_is_not_blamed():
     driver = Driver(REPORTS)
     name, *others = standing(driver, "s1", 5)
