Leave a server out that sends its clients away before the list tells of its drain

Ruled out: the network layer (each end told at once), discovery's watch. At fault: policy.py knew a drain only from the list. Changed: where at least three connections, and as many as remain, are ended politely within a second, the server is left out for 8 s, or until it starts anew. It is no strike: set-ups that still succeed there must not clear it, which a first try with suspect_until did.

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -39,6 +39,8 @@
 BACK_OFF = SECOND  # a suspect's first time out of the ready set; doubles with each failure
 BACK_OFF_DOUBLINGS = 3
 REPORT_AGE = 2  # ticks that a report is old, at a guess, when it comes
+DRAIN_SIGN = 3  # clients that a server sends away in a second before it counts as draining
+DRAIN_TOLD = 8 * SECOND  # time in which a list is to tell of a drain that showed in this way
 NEWS_LASTS = 3 * SECOND  # a report or note of trouble older than this says nothing
 
 # Attempts
@@ -136,6 +138,8 @@
     strikes: int = 0
     broke_at: int = 0  # when an open connection of it last broke
     doubted: bool = False  # whether its last set-up failed
+    sent_away: list[int] = field(default_factory=list)  # when it lately ended clients' connections politely
+    drains_until: int = 0  # until when it counts as draining though no list says so
     suspect_until: int = 0
     groups: dict[str, int] = field(default_factory=dict)  # connections it holds of each group
     leaving: frozenset[str] = frozenset()  # groups it is to lose, as it is asked too much
@@ -313,7 +317,7 @@
             spread = 0 if self.now == self.started else PROBE_PERIOD  # at the start nothing is known
             server.probe_at = self.now + int(spread * self.random.random())
         if entry.started > server.started:  # a new process: what was known of the old one is void
-            server.strikes = server.suspect_until = server.troubled_since = 0
+            server.strikes = server.suspect_until = server.troubled_since = server.drains_until = 0
             server.reported = -1.0
             server.delay = 0.0
         if entry.state is api.ServerState.DRAINING and server.open:
@@ -434,7 +438,9 @@
 
     def _suspect(self, server: Server) -> bool:
         # Half-open: after its time out a suspect gets one trial at a time until one succeeds.
-        return server.suspect_until > self.now or (server.strikes > 0 and server.pending > 0)
+        if max(server.suspect_until, server.drains_until) > self.now:
+            return True
+        return server.strikes > 0 and server.pending > 0
 
     # Cold-start budget
 
@@ -627,12 +633,22 @@
                 self.window = max(self.least_window, self.window / 2)
             if not alone:
                 self._strike(server)
+        if flight.opened and not flight.answered and event.result is api.Result.CANCELLED:
+            self._sent_away(server)
         if flight.opened or event.last or flight.answered:
             self._drop(flight)
         else:
             self._again(flight)
         self._retry_held()
 
+    def _sent_away(self, server: Server) -> None:
+        """Leave a server out that sends its clients away: the list tells of a drain only seconds later."""
+        # Guards against clients sent back to where they come from: it takes them and answers none.
+        server.sent_away = [at for at in server.sent_away if at > self.now - SECOND] + [self.now]
+        # Clients also leave by themselves; half of all in a second do not.
+        if len(server.sent_away) >= max(DRAIN_SIGN, len(server.open)):
+            server.drains_until = self.now + DRAIN_TOLD
+
     def _again(self, flight: Flight) -> None:
         """Try a failed request elsewhere, or answer it."""
         spent = len(flight.attempts) >= self.settings.max_attempts or self.retries < 1
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -473,6 +473,28 @@
     assert ladder.index_sum == pytest.approx(30.0)
 
 
+def test_a_server_that_sends_its_clients_away_is_left_out_before_the_list_tells():
+    # Guards against clients sent back to a server that drains: it takes them and answers none.
+    driver = Driver(REPORTS)
+    names = standing(driver, "s1", 8)
+    server = driver.balancer.servers["s1"]
+
+    def ends(name: str) -> bool:
+        driver.jobs[name].tries = [Try(driver.list["s1"], driver.now, driver.now)]
+        driver.end(name, api.Result.CANCELLED)
+        return driver.balancer._suspect(server)
+
+    for name in names[:3]:
+        assert not ends(name), "clients that leave one by one"
+        driver.wait(SECOND // 4)
+    driver.wait(SECOND)
+    assert [ends(name) for name in names[3:]] == [False, False, True, True, True]
+    fill(driver, 12)
+    assert "s1" not in {send.server for send in driver.actions(api.Send)}
+    driver.members(api.MembershipKind.CHANGES, (replace(driver.list["s1"], started=driver.now),))
+    assert not driver.balancer._suspect(server), "a new process"
+
+
 def test_a_silent_connection_is_moved_and_its_server_is_not_blamed():
     driver = Driver(REPORTS)
     name, *others = standing(driver, "s1", 5)
