Give operators an address to call, and drain and rejoin without ending the process

Cause of the first: nothing listened on `admin`, and Relay.drain knew only the end of the process.

Also found while reading: CannotListenError is no OSError, so an address that is taken ended the start with a trace and exit code 1 (__main__.py, `except OSError`), not with the documented line and 2. Ruled out as the cause of the drain: the module, which hears of neither.

A client that the relay itself moves was told to the module as CANCELLED, as if its server had sent it away (Transaction.move, policy._sent_away); after a few such moves every server counted as draining for 8 s. It is told as gone first now, on SIGTERM too.

OWN grows from 48 to 58 descriptors for the operators' connections. PINGS grows from 16 to 50 in 2.5 s, as a front that asks every 0.1 s on one connection was a flood.

--- a/scaledeal/__main__.py
+++ b/scaledeal/__main__.py
@@ -23,18 +23,13 @@
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: relay.reload()))
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
-        told = config.read()
+        relay = Relay(reactor, config.read())
+        relay.start()
     except config.ConfigError as error:
         print(f"scaledeal: {error}".replace("\n", " "), file=sys.stderr)
         return 2
     PythonLoggingObserver("scaledeal.twisted").start()
     logging.getLogger("scaledeal.twisted").setLevel(logging.WARNING)
-    relay = Relay(reactor, told)
-    try:
-        relay.start()
-    except OSError as error:
-        print(f"scaledeal: PROXY_LISTEN: {error}".replace("\n", " "), file=sys.stderr)
-        return 2
     # Twisted takes SIGTERM when it starts to run; from then on it means: move your clients, then go.
     reactor.callWhenRunning(signal.signal, signal.SIGTERM, lambda *_: reactor.callFromThread(relay.drain))
     gc.collect()
--- a/scaledeal/net/config.py
+++ b/scaledeal/net/config.py
@@ -33,6 +33,7 @@
     name: str = ""
     listen: str = ""
     discovery: str = ""
+    admin: str = ""
     seed: str | int = ""
     limits: _Limits = _Limits()
     known: Roster = Roster()
@@ -45,6 +46,7 @@
     name: str
     listen: Address
     discovery: Address
+    admin: Address | None  # where operators call; none where that is not stated
     seed: int
     sockets: int  # descriptors that this process may hold; 0 where that is not stated
     known: Roster
@@ -86,10 +88,12 @@
 def read(environment: Mapping[str, str] = os.environ) -> Config:
     """Read the start; the environment's values go before the file's."""
     file, settings = _file(environment)
+    admin = environment.get("PROXY_ADMIN") or file.admin
     return Config(
         name=environment.get("PROXY_NAME") or file.name or "relay",
         listen=address(environment.get("PROXY_LISTEN") or file.listen, "PROXY_LISTEN"),
         discovery=address(environment.get("PROXY_DISCOVERY") or file.discovery, "PROXY_DISCOVERY"),
+        admin=address(admin, "PROXY_ADMIN") if admin else None,
         seed=_seed(file.seed),
         sockets=file.limits.sockets,
         known=file.known,
--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -36,7 +36,7 @@
         self.addresses: dict[str, str] = {}  # where each application server was last said to be
         self.delays = Delays(tuple(each.message_aim for each in settings.classes), self.now)
         self.load_lines = LoadLines(self.delays.least / 1e6, self.now)
-        self.draining = False  # this relay is to stop: whatever stands is moved
+        self.draining = False  # whatever comes up is moved at once
         self.prober: Prober | None = None
         self.watch: Callable[[], None] = lambda: None
         self._numbered = 0
@@ -104,6 +104,10 @@
                                   ask.tenant, returning=ask.returning, load_hint=ask.load_hint))
         return transaction
 
+    def standing(self) -> list[Transaction]:
+        """Return the transactions whose connections stand."""
+        return [each for each in self.transactions.values() if each.state is State.STANDING]
+
     def forget(self, transaction: Transaction) -> None:
         """Take a transaction off the table."""
         self.transactions.pop(transaction.handle, None)
@@ -124,9 +128,8 @@
         for handle, load in self.load_lines.settle():
             self.transactions[handle].note(api.NoteKind.LOAD, load)
         now = self.now()
-        for transaction in list(self.transactions.values()):
-            if transaction.state is State.STANDING:
-                transaction.look(now)
+        for transaction in self.standing():
+            transaction.look(now)
 
     def _resume(self, transaction: Transaction) -> None:
         """Connect to where a connection stood before the start; no decision is due for that."""
--- a/scaledeal/net/lines.py
+++ b/scaledeal/net/lines.py
@@ -128,11 +128,11 @@
         if self._part is not None:
             data = bytes(memoryview(self._part)[:self._filled]) + data
             self._give_back()
-        *lines, rest = data.split(END)
+        *lines, rest = data.split(self.delimiter)
         for line in lines:
             if self.closing:
                 return
-            if len(line) + len(END) > LINE:
+            if len(line) + len(self.delimiter) > LINE:
                 self.bad_line()
                 return
             self.line_came(line)
--- a/scaledeal/net/lobby.py
+++ b/scaledeal/net/lobby.py
@@ -17,7 +17,7 @@
 
 log = logging.getLogger("scaledeal.lobby")
 
-OWN = 48  # descriptors for the listener, the log, discovery, the health probes and those below
+OWN = 58  # descriptors for the listeners, the log, discovery, the health probes, operators and those below
 CLOSING = 16  # of these, for guests that were told to go and are not closed yet; clients taken in one go
 LOBBY_SHARE = 5  # the lobby is kept to this part of all descriptors, as far as that is fair
 FAIR = 0.25  # seconds that a newcomer gets to ask before it has to give way
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -7,6 +7,7 @@
 from typing import Any, cast
 
 from twisted.internet import tcp
+from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory
 
@@ -17,10 +18,11 @@
 from scaledeal.net.farm import Farm
 from scaledeal.net.health_probe import HealthProbes
 from scaledeal.net.lobby import CLOSING, Lobby, most_descriptors
+from scaledeal.net.operators import Operators
 from scaledeal.net.ports import Port, Reactor
 from scaledeal.net.proxy_pass import Trade
 from scaledeal.net.roster import Calendar
-from scaledeal.net.transaction import State
+from scaledeal.net.service import Service, Stage
 from scaledeal.net.user_agent import Reception, UserAgent
 from scaledeal.net.wording import report_reader
 
@@ -66,7 +68,8 @@
         self.config = config
         document = config.document
         self.driver = Driver(reactor, config.settings, config.seed)
-        trade = Trade(reactor, BufferPool(), self.driver.now, report_reader(document.report.fields),
+        pool = BufferPool()
+        trade = Trade(reactor, pool, self.driver.now, report_reader(document.report.fields),
                       int(document.caps.dial_timeout))
         self.driver.prober = HealthProbes(trade, int(document.caps.idle_close), self.driver.post)
         self.calendar = Calendar(time.monotonic_ns(), time.time_ns())
@@ -74,19 +77,43 @@
         self.driver.watch = lambda: self.farm.watch()
         classes = {entry.name: number for number, entry in enumerate(document.classes)}
         lobby = Lobby(reactor, most_descriptors(config.sockets), self.driver.now)
-        self.door = Door(Reception(trade, classes, max(1, len(document.accounts)), lobby, self.driver.take))
+        self.door = Door(Reception(trade, classes, max(1, len(document.accounts)), lobby, self.driver.take,
+                                   lambda: self.service.stage is not Stage.LAME_DUCK))
         self.port: Port | None = None
-        self.ending = False
+        self.service = Service(self.driver)
+        self.operators = Operators(reactor, pool, {
+            b"PING": lambda: self._told(self.service.stage is Stage.SERVING),
+            b"LAMEDUCK": lambda: self._told(self.service.lame_duck()),
+            b"REJOIN": lambda: self._told(self.service.rejoin()),
+        })
+        self.admin: Port | None = None
 
     def start(self) -> None:
-        """Take the list as last held, then listen."""
+        """Take the list as last held, then listen; ConfigError where an address can't be had."""
+        listen, admin = self.config.listen, self.config.admin
+        if admin is not None:
+            self.admin = self._listen(tcp.Port, admin, self.operators, "PROXY_ADMIN")
         self.farm.start_with(self.config.known)
         self.driver.look_round()
-        listen = self.config.listen
-        self.port = cast(Port, cast(Any, Gate)(listen.port, self.door, BACKLOG, listen.host, self.reactor))
-        self.port.startListening()
+        self.port = self._listen(Gate, listen, self.door, "PROXY_LISTEN")
+        self.reactor.callWhenRunning(self.service.started)
         log.info("relay %s listens on %s:%d, %d application servers known", self.config.name, listen.host,
                  self.port.getHost().port, len(self.config.known.endpoints))
+        if self.admin is not None and admin is not None:
+            log.info("operators call %s:%d", admin.host, self.admin.getHost().port)
+
+    def _listen(self, kind: Any, at: told.Address, factory: ServerFactory, what: str) -> Port:
+        port = kind(at.port, factory, BACKLOG, at.host, self.reactor)
+        try:
+            port.startListening()
+        except CannotListenError as error:
+            # Guards against a trace and an exit code of its own where the address is taken or not ours.
+            raise told.ConfigError(f"{what}: {error}") from None
+        return cast(Port, port)
+
+    def _told(self, yes: bool) -> str:
+        stage = self.service.stage.name.lower().replace("_", " ")
+        return f"{'ok' if yes else 'fail'} {stage}, {len(self.driver.standing())} connections stand"
 
     def _farm(self) -> Farm:
         where = self.config.discovery
@@ -121,26 +148,16 @@
 
     def drain(self) -> None:
         """Begin the end: keep listening and answering, then move whoever stands."""
-        if not self.ending:
-            self.ending = True
+        longest = max(each.deadline / 1e9 for each in self.config.settings.classes)
+        end = min(longest, LONGEST_DEADLINE)
+        # Guards against clients sent away while no other relay is back yet: they are served here for as
+        # long as there is time to move them one by one.
+        kept = min(KEPT, end / 2)
+        if self.service.end(kept, end + LEFT_OVER):
             log.info("told to stop: %d requests and connections to finish", len(self.driver.transactions))
-            longest = max(each.deadline / 1e9 for each in self.config.settings.classes)
-            end = min(longest, LONGEST_DEADLINE)
-            # Guards against clients sent away while no other relay is back yet: they are served here for as
-            # long as there is time to move them one by one.
-            kept = min(KEPT, end / 2)
-            self.reactor.callLater(kept, self._move_all, end + LEFT_OVER - kept)
+            self.reactor.callLater(kept, self._leave_when_done)
             self.reactor.callLater(end + LAST_CALL, self._last_call)
 
-    def _move_all(self, spread: float) -> None:
-        # From here on whatever comes up is moved at once.
-        self.driver.draining = True
-        standing = [t for t in self.driver.transactions.values() if t.state is State.STANDING]
-        for number, transaction in enumerate(standing):
-            # Guards against a herd: all of them coming to the other relays in one moment.
-            self.reactor.callLater(spread * number / len(standing), transaction.move)
-        self._leave_when_done()
-
     def _leave_when_done(self) -> None:
         if self.driver.transactions:
             self.reactor.callLater(0.05, self._leave_when_done)
@@ -150,7 +167,7 @@
 
     def _last_call(self) -> None:
         for transaction in list(self.driver.transactions.values()):
-            transaction.move()
+            transaction.send_away()
             transaction.fail()
         self.reactor.callLater(0.1, self._leave)
 
@@ -158,6 +175,8 @@
         if self.port is not None:
             self.port.stopListening()
             self.port = None
+            if self.admin is not None:
+                self.admin.stopListening()
             self.farm.close()
             log.info("stopped: %d requests and connections were left", len(self.driver.transactions))
             self.reactor.stop()
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -108,6 +108,13 @@
             self.agent.move()
             self.current.leave(False)
 
+    def send_away(self) -> None:
+        """End a connection that stands politely though the decision module did not ask for it."""
+        if self.state is State.STANDING:
+            # Guards against servers taken for draining: they did not send away whom this relay moved.
+            self.desk.post(api.ClientGone(self.handle))
+            self.move()
+
     # News of the pass
 
     def established(self) -> None:
@@ -122,7 +129,7 @@
             elapsed = self.desk.now() - self.began
             self.desk.post(api.Established(self.handle, self.passes - 1, self.server, elapsed))
         if self.desk.draining:
-            self.move()
+            self.send_away()
 
     def load_line(self, amount: float) -> None:
         """Pass on what a LOAD line tells."""
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -15,7 +15,7 @@
 from scaledeal.net.transaction import Transaction
 
 FIRST_LINE = 2.5  # seconds that a client may stay without a whole first line, or between two PINGs
-PINGS = 16  # PINGs taken in that time; more are a flood
+PINGS = 50  # PINGs taken in that time, twice those of a front that asks every 0.1 s; more are a flood
 EARLY = 16  # lines taken before the answer; more are a flood
 STOOD = 40_000  # ms after which a connection from before the start that is not up again is lost
 
@@ -37,6 +37,7 @@
     tenants: int
     lobby: Lobby
     take: Callable[[Ask, Agent], Transaction]
+    ready: Callable[[], bool]  # whether a front that asks is told yes
     ids: set[str] = msgspec.field(default_factory=set)  # of the requests and connections that are open here
 
 
@@ -146,7 +147,8 @@
         if self.pings > PINGS:
             self._reject("flooded")
         else:
-            self.send(wording.PONG)
+            # A front that asks here hears of a drain as one that calls the operators' address.
+            self.send(wording.PONG if self.reception.ready() else wording.ERR)
             self._set_timer(FIRST_LINE, self.end)
 
     def _too_late(self) -> None:
