Hand the listening socket to a new version, and let the old one end without a closed door

Cause: Relay.start binds the clients' address, which the old process holds (EADDRINUSE). Ruled out: a second listener under SO_REUSEPORT, which loses what waits in the old queue.

The new process asks for the whole list before it says yes (4 s at most); the old one takes no more clients from then on and moves its own from SIGTERM on. Descriptors are split by what the old one can still need. Tests start two versions over sockets, with stale, foreign and partial offers in the folder.

--- a/scaledeal/__main__.py
+++ b/scaledeal/__main__.py
@@ -24,18 +24,22 @@
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
         relay = Relay(reactor, config.read())
-        relay.start()
     except config.ConfigError as error:
-        print(f"scaledeal: {error}".replace("\n", " "), file=sys.stderr)
-        return 2
+        return _refused(str(error))
     PythonLoggingObserver("scaledeal.twisted").start()
     logging.getLogger("scaledeal.twisted").setLevel(logging.WARNING)
+    relay.start()
     # Twisted takes SIGTERM when it starts to run; from then on it means: move your clients, then go.
     reactor.callWhenRunning(signal.signal, signal.SIGTERM, lambda *_: reactor.callFromThread(relay.drain))
     gc.collect()
     gc.freeze()
     reactor.run()
-    return 0
+    return _refused(relay.failure) if relay.failure else 0
+
+
+def _refused(why: str) -> int:
+    print(f"scaledeal: {why}".replace("\n", " "), file=sys.stderr)
+    return 2
 
 
 if __name__ == "__main__":
--- a/scaledeal/net/config.py
+++ b/scaledeal/net/config.py
@@ -47,6 +47,7 @@
     listen: Address
     discovery: Address
     admin: Address | None  # where operators call; none where that is not stated
+    folder: Path | None  # the one that the processes of this relay share; none where that is not stated
     seed: int
     sockets: int  # descriptors that this process may hold; 0 where that is not stated
     known: Roster
@@ -94,6 +95,7 @@
         listen=address(environment.get("PROXY_LISTEN") or file.listen, "PROXY_LISTEN"),
         discovery=address(environment.get("PROXY_DISCOVERY") or file.discovery, "PROXY_DISCOVERY"),
         admin=address(admin, "PROXY_ADMIN") if admin else None,
+        folder=Path(environment["TMPDIR"]) if environment.get("TMPDIR") else None,
         seed=_seed(file.seed),
         sockets=file.limits.sockets,
         known=file.known,
--- a/scaledeal/net/farm.py
+++ b/scaledeal/net/farm.py
@@ -45,9 +45,9 @@
         self.agent: Any = Agent(reactor, connectTimeout=2.0, pool=self.pool)
         self.asked: Deferred[Any] | None = None  # the call that is out
 
-    def start_with(self, known: Roster) -> None:
-        """Tell the list as it was last held."""
-        self.index = known.index
+    def start_with(self, known: Roster, whole: bool) -> None:
+        """Tell the list as it was last held, and go on from there or ask for the whole of it."""
+        self.index = None if whole else known.index
         self._tell(api.MembershipKind.INITIAL, known)
 
     def watch(self) -> None:
--- /dev/null
+++ b/scaledeal/net/gate.py
@@ -0,0 +1,47 @@
+"""The clients' door: the listening socket, and who is let in."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any, cast
+
+from twisted.internet import tcp
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import ServerFactory
+
+from scaledeal.net.lobby import CLOSING
+from scaledeal.net.user_agent import Reception, UserAgent
+
+
+class Door(ServerFactory):
+    """Makes a user agent's side for each new connection."""
+
+    noisy = False
+
+    def __init__(self, reception: Reception) -> None:
+        self.reception = reception
+
+    def buildProtocol(self, addr: IAddress | None) -> UserAgent | None:  # noqa: N802, D102
+        # Without a protocol the transport closes the socket at once: nothing is cheaper.
+        return UserAgent(self.reception) if self.reception.lobby.room() else None
+
+
+class Gate(tcp.Port):
+    """The listening socket.
+
+    Guards against a burst of connections that is taken whole before the first line of any is read, and before
+    those that gave way are closed: the usual clients among them would find no descriptor.
+    """
+
+    # Guards against a queue that ends for the process it was handed to, too.
+    _shouldShutdown = False  # noqa: N815
+
+    def createInternetSocket(self) -> socket.socket:  # noqa: N802, D102
+        # Guards against a new version that finds no offer in $TMPDIR and can't listen beside this process.
+        made = cast(socket.socket, cast(Any, super()).createInternetSocket())
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        return made
+
+    def doRead(self) -> None:  # noqa: N802, D102
+        self.numberAccepts = min(self.numberAccepts, CLOSING)
+        cast(Any, super()).doRead()
--- a/scaledeal/net/lobby.py
+++ b/scaledeal/net/lobby.py
@@ -45,6 +45,7 @@
     def __init__(self, reactor: Reactor, most: int, now: Callable[[], int]) -> None:
         self.reactor = reactor
         self.most = most
+        self.lent = 0  # descriptors that another process of this relay holds
         self.now = now
         self.guests: dict[Guest, int] = {}  # who is in the lobby, and since when; the oldest first
         self.going: set[Guest] = set()  # who was told to go
@@ -90,13 +91,20 @@
         if self._timer is None:
             self._timer = self.reactor.callLater(SUMMARY, self._tell)
 
+    def spare(self) -> int:
+        """Return how many descriptors stay free if nobody new comes and all guests ask."""
+        return max(0, self.most - OWN - self._going() - 2 * (len(self.guests) + self.asked))
+
+    def _going(self) -> int:
+        return max(0, len(self.going) - CLOSING)
+
     def _full(self) -> bool:
-        going = max(0, len(self.going) - CLOSING)
-        return len(self.guests) + 1 + going + 2 * self.asked + OWN > self.most
+        held = len(self.guests) + 1 + self._going() + 2 * self.asked + OWN
+        return held > self.most - self.lent
 
     def _crowded(self) -> bool:
         longest = self.now() - next(iter(self.guests.values()))
-        return len(self.guests) >= self.most // LOBBY_SHARE and longest > FAIR * 1e9
+        return len(self.guests) >= (self.most - self.lent) // LOBBY_SHARE and longest > FAIR * 1e9
 
     def _tell(self) -> None:
         self._timer = None
--- a/scaledeal/net/ports.py
+++ b/scaledeal/net/ports.py
@@ -28,6 +28,15 @@
     def stopListening(self) -> object:  # noqa: N802
         """Close it."""
 
+    def fileno(self) -> int:
+        """Return its descriptor."""
+
+    def stopReading(self) -> None:  # noqa: N802
+        """Take no connections."""
+
+    def startReading(self) -> None:  # noqa: N802
+        """Take connections again."""
+
 
 class Connector(Protocol):
     """A connection that is being opened."""
@@ -78,6 +87,9 @@
     def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> Connector:  # noqa: N802
         """Open a connection."""
 
+    def connectUNIX(self, address: str, factory: Any, timeout: float) -> Connector:  # noqa: N802
+        """Open a connection to a Unix socket."""
+
     def callWhenRunning(self, call: Callable[..., object], *args: Any) -> object:  # noqa: N802
         """Call once the reactor runs."""
 
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -3,27 +3,31 @@
 from __future__ import annotations
 
 import logging
+import os
+import socket
 import time
 from typing import Any, cast
 
 from twisted.internet import tcp
 from twisted.internet.error import CannotListenError
-from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory
 
+from scaledeal import interface as api
 from scaledeal.net import config as told
 from scaledeal.net.buffers import BufferPool
 from scaledeal.net.config import Config
 from scaledeal.net.driver import Driver
 from scaledeal.net.farm import Farm
+from scaledeal.net.gate import Door, Gate
+from scaledeal.net.handover import Claim, Offer, Place
 from scaledeal.net.health_probe import HealthProbes
-from scaledeal.net.lobby import CLOSING, Lobby, most_descriptors
+from scaledeal.net.lobby import OWN, Lobby, most_descriptors
 from scaledeal.net.operators import Operators
 from scaledeal.net.ports import Port, Reactor
 from scaledeal.net.proxy_pass import Trade
 from scaledeal.net.roster import Calendar
 from scaledeal.net.service import Service, Stage
-from scaledeal.net.user_agent import Reception, UserAgent
+from scaledeal.net.user_agent import Reception
 from scaledeal.net.wording import report_reader
 
 log = logging.getLogger("scaledeal.relay")
@@ -32,34 +36,10 @@
 KEPT = 1.6  # seconds after SIGTERM for which the standing clients are served as before
 LONGEST_DEADLINE = 3.0  # seconds; SIGKILL follows SIGTERM by the longest deadline, or this, plus 0.7 or more
 LEFT_OVER = 0.1  # seconds after that deadline at which the last standing client is moved
+LIST_TIME = 4.0  # seconds that a successor waits for the whole list; it must serve within 6 s of its start
 LAST_CALL = 0.45  # seconds after that deadline at which whatever is left is ended
 
 
-class Door(ServerFactory):
-    """Makes a user agent's side for each new connection."""
-
-    noisy = False
-
-    def __init__(self, reception: Reception) -> None:
-        self.reception = reception
-
-    def buildProtocol(self, addr: IAddress | None) -> UserAgent | None:  # noqa: N802, D102
-        # Without a protocol the transport closes the socket at once: nothing is cheaper.
-        return UserAgent(self.reception) if self.reception.lobby.room() else None
-
-
-class Gate(tcp.Port):
-    """The listening socket.
-
-    Guards against a burst of connections that is taken whole before the first line of any is read, and before
-    those that gave way are closed: the usual clients among them would find no descriptor.
-    """
-
-    def doRead(self) -> None:  # noqa: N802, D102
-        self.numberAccepts = min(self.numberAccepts, CLOSING)
-        cast(Any, super()).doRead()
-
-
 class Relay:
     """One relay, from its start to its end."""
 
@@ -87,20 +67,70 @@
             b"REJOIN": lambda: self._told(self.service.rejoin()),
         })
         self.admin: Port | None = None
+        self.offer: Offer | None = None  # to a new version
+        self.claim: Claim | None = None  # on the socket of the process that serves
+        self.adopted = False  # the listening socket was handed over
+        self.replaced = False  # a new version serves
+        self.gone = False
+        self.failure = ""  # why this relay could not start
+
+    # The start
 
     def start(self) -> None:
-        """Take the list as last held, then listen; ConfigError where an address can't be had."""
-        listen, admin = self.config.listen, self.config.admin
-        if admin is not None:
-            self.admin = self._listen(tcp.Port, admin, self.operators, "PROXY_ADMIN")
-        self.farm.start_with(self.config.known)
+        """Take over from the process that serves, or listen; ``failure`` tells why it could not."""
+        admin = self.config.admin
+        try:
+            if admin is not None:
+                self.admin = self._listen(tcp.Port, admin, self.operators, "PROXY_ADMIN")
+                log.info("operators call %s:%d", admin.host, self.admin.getHost().port)
+        except told.ConfigError as error:
+            self._give_up(error)
+            return
         self.driver.look_round()
-        self.port = self._listen(Gate, listen, self.door, "PROXY_LISTEN")
-        self.reactor.callWhenRunning(self.service.started)
-        log.info("relay %s listens on %s:%d, %d application servers known", self.config.name, listen.host,
-                 self.port.getHost().port, len(self.config.known.endpoints))
-        if self.admin is not None and admin is not None:
-            log.info("operators call %s:%d", admin.host, self.admin.getHost().port)
+        if self.config.folder is None:
+            self._open(None)
+        else:
+            place = Place(self.config.folder, self.config.listen)
+            self.offer = Offer(self.reactor, place, self)
+            self.claim = Claim(self.reactor, place, self._open, self._may_hold)
+            self.claim.begin()
+
+    def _open(self, descriptor: int | None) -> None:
+        """Listen on the socket that was handed over, or on one of our own."""
+        self.farm.start_with(self.config.known, descriptor is not None)
+        if descriptor is None:
+            try:
+                self.port = self._listen(Gate, self.config.listen, self.door, "PROXY_LISTEN")
+            except told.ConfigError as error:
+                self._give_up(error)
+                return
+            self._serve()
+        else:
+            family = socket.AF_INET6 if ":" in self.config.listen.host else socket.AF_INET
+            self.port = cast(Any, Gate)._fromListeningDescriptor(self.reactor, descriptor, family, self.door)
+            os.close(descriptor)
+            self.adopted = True
+            # Guards against a list that has aged since the file was written: who says yes knows a fresh one.
+            log.info("taking over from the process that serves: waiting for the whole list")
+            self.reactor.callLater(LIST_TIME, self._serve)
+
+    def _listed(self, event: api.Membership, addresses: dict[str, str]) -> None:
+        self.driver.listed(event, addresses)
+        if event.kind is api.MembershipKind.FULL:
+            self._serve()
+
+    def _serve(self) -> None:
+        """Take clients, once; the process that was there before takes no more."""
+        if self.port is None or self.service.stage is not Stage.STARTING:
+            return
+        self.service.started()
+        if self.claim is not None and self.adopted:
+            self.port.startListening()
+            self.claim.serving()
+        if self.offer is not None:
+            self.offer.open()
+        log.info("relay %s listens on %s:%d, %d application servers known", self.config.name,
+                 self.config.listen.host, self.port.getHost().port, len(self.driver.addresses))
 
     def _listen(self, kind: Any, at: told.Address, factory: ServerFactory, what: str) -> Port:
         port = kind(at.port, factory, BACKLOG, at.host, self.reactor)
@@ -111,6 +141,40 @@
             raise told.ConfigError(f"{what}: {error}") from None
         return cast(Port, port)
 
+    def _give_up(self, why: told.ConfigError) -> None:
+        self.failure = str(why)
+        self.reactor.callWhenRunning(self.reactor.stop)
+
+    # A new version takes over
+
+    def listening(self) -> int:
+        """Return the descriptor of the listening socket."""
+        assert self.port is not None, "offered before it listened"
+        return self.port.fileno()
+
+    def spare(self) -> int:
+        """Return how many descriptors a successor may hold."""
+        return self.door.reception.lobby.spare()
+
+    def succeeded(self, there: bool, serving: bool) -> None:
+        """Take no more clients once a successor serves; take them again if it is lost."""
+        self.door.reception.lobby.lent = OWN if there else 0
+        if self.port is None or self.gone or serving == self.replaced:
+            return
+        self.replaced = serving
+        if serving:
+            log.info("a new version serves: %d requests and connections stay here",
+                     len(self.driver.transactions))
+            self.port.stopReading()
+        else:
+            log.warning("the new version is gone: clients are taken here again")
+            self.port.startReading()
+
+    def _may_hold(self, count: int | None) -> None:
+        # Guards against two processes that together hold more descriptors than one relay may.
+        lobby = self.door.reception.lobby
+        lobby.lent = max(0, lobby.most - count) if count is not None else 0
+
     def _told(self, yes: bool) -> str:
         stage = self.service.stage.name.lower().replace("_", " ")
         return f"{'ok' if yes else 'fail'} {stage}, {len(self.driver.standing())} connections stand"
@@ -118,13 +182,13 @@
     def _farm(self) -> Farm:
         where = self.config.discovery
         return Farm(self.reactor, where.host, where.port, self.config.document.failure_domains, self.calendar,
-                    self.driver.listed)
+                    self._listed)
 
     # A new configuration
 
     def reload(self) -> None:
         """Read the file again; a discovery at another address takes over, connections and requests go on."""
-        if self.port is None:
+        if self.gone:
             return
         try:
             self.config, before = told.read_again(self.config), self.config
@@ -151,15 +215,15 @@
         longest = max(each.deadline / 1e9 for each in self.config.settings.classes)
         end = min(longest, LONGEST_DEADLINE)
         # Guards against clients sent away while no other relay is back yet: they are served here for as
-        # long as there is time to move them one by one.
-        kept = min(KEPT, end / 2)
+        # long as there is time to move them one by one. Where a new version serves already, there is.
+        kept = 0.0 if self.replaced else min(KEPT, end / 2)
         if self.service.end(kept, end + LEFT_OVER):
             log.info("told to stop: %d requests and connections to finish", len(self.driver.transactions))
             self.reactor.callLater(kept, self._leave_when_done)
             self.reactor.callLater(end + LAST_CALL, self._last_call)
 
     def _leave_when_done(self) -> None:
-        if self.driver.transactions:
+        if self.driver.transactions or self.replaced and self.door.reception.lobby.guests:
             self.reactor.callLater(0.05, self._leave_when_done)
         else:
             # The last answers are written; their clients get a moment to take them.
@@ -172,11 +236,11 @@
         self.reactor.callLater(0.1, self._leave)
 
     def _leave(self) -> None:
-        if self.port is not None:
-            self.port.stopListening()
-            self.port = None
-            if self.admin is not None:
-                self.admin.stopListening()
+        if not self.gone:
+            self.gone = True
+            for port in (self.port, self.admin, self.offer):
+                if port is not None:
+                    port.stopListening()
             self.farm.close()
             log.info("stopped: %d requests and connections were left", len(self.driver.transactions))
             self.reactor.stop()
--- a/tests/netfakes.py
+++ b/tests/netfakes.py
@@ -13,11 +13,11 @@
 from scaledeal import interface as api
 from scaledeal.net.buffers import BufferPool
 from scaledeal.net.driver import Driver
+from scaledeal.net.gate import Door
 from scaledeal.net.health_probe import HealthProbes
 from scaledeal.net.lines import LineLink
 from scaledeal.net.lobby import Lobby
 from scaledeal.net.proxy_pass import Trade
-from scaledeal.net.relay import Door
 from scaledeal.net.service import Service, Stage
 from scaledeal.net.user_agent import Reception
 from scaledeal.net.wording import report_reader
--- a/tests/test_lobby_model.py
+++ b/tests/test_lobby_model.py
@@ -112,3 +112,21 @@
 def test_bad_clients_in_any_number_starve_nobody():
     run_state_machine_as_test(Clients, settings=settings(max_examples=60, stateful_step_count=25))
     assert Clients.seen >= (MOST - OWN) // 2, "there were never many at once"
+
+
+def test_two_processes_of_one_relay_never_hold_more_than_its_descriptors():
+    old, new = Bench(), Bench()
+    for each in (old, new):
+        each.lobby.most = 2 * MOST
+    for number in range(20):
+        old.client().receive(b"OPEN a%d 7f3a c=browse,d=80000000\r\n" % number)
+    asking = [old.client() for _ in range(9)]
+    # The old one takes nobody from here on; the new one gets what is left even if all who are there ask.
+    spare = old.lobby.spare()
+    new.lobby.lent = new.lobby.most - spare
+    for number, each in enumerate(asking):
+        each.receive(b"OPEN b%d 7f3a c=browse,d=80000000\r\n" % number)
+    came = [wire for _ in range(3 * MOST) if (wire := new.knock())]
+    held = OWN + 2 * old.lobby.asked + OWN + sum(not wire.lost for wire in came)
+    assert old.lobby.asked == 29 and came and held <= 2 * MOST
+    assert old.lobby.spare() == spare, "a guest who asks was counted as such"
--- a/tests/test_relay_process.py
+++ b/tests/test_relay_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 import json
 import os
 import re
@@ -11,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -18,6 +20,9 @@
 
 import pytest
 
+from scaledeal.net.config import Address
+from scaledeal.net.handover import Place
+
 ROOT = Path(__file__).parent.parent
 PATIENCE = 20.0
 SETTINGS: dict[str, Any] = {
@@ -107,16 +112,38 @@
                        "known": {"index": 4, "snapshot": True, "endpoints": listed if known else []}}
         self.path.write_text(json.dumps(self.config))
         env = {**os.environ, "PROXY_CONFIG": str(tmp_path / "config.json"), "PROXY_LISTEN": "127.0.0.1:0",
-               "PROXY_DISCOVERY": self.discovery.address, "PROXY_ADMIN": "127.0.0.1:0"}
-        self.process = subprocess.Popen([sys.executable, "-m", "scaledeal"], cwd=ROOT, env=env,
+               "PROXY_DISCOVERY": self.discovery.address, "PROXY_ADMIN": "127.0.0.1:0",
+               "TMPDIR": str(tmp_path)}
+        self.env = env
+        self.run()
+        self.watch, self.query = self.next_watch(self.discovery.accept())
+
+    def run(self) -> None:
+        """Start the program and wait until operators can call it."""
+        self.process = subprocess.Popen([sys.executable, "-m", "scaledeal"], cwd=ROOT, env=self.env,
                                         stderr=subprocess.PIPE, text=True)
-        assert self.process.stderr is not None
-        told = self.process.stderr.readline()
-        found = re.search(r"listens on 127.0.0.1:(\d+)", told)
-        assert found, told
-        self.port = int(found[1])
         self.admin = int(self.log_line("operators call").rpartition(":")[2])
-        self.watch, self.query = self.next_watch(self.discovery.accept())
+
+    def beside(self) -> World:
+        """Start a new version beside this one, and wait until it asks for the list."""
+        new = copy.copy(self)
+        new.__dict__.pop("listens", None)
+        new.run()
+        new.watch, new.query = new.next_watch(new.discovery.accept())
+        return new
+
+    def end(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+    @property
+    def port(self) -> int:
+        """The port that it listens on, once it does."""
+        if "listens" not in self.__dict__:
+            found = re.search(r"listens on 127.0.0.1:(\d+)", self.log_line("listens on"))
+            assert found
+            self.__dict__["listens"] = int(found[1])
+        return int(self.__dict__["listens"])
 
     def log_line(self, word: str) -> str:
         """Return the next line of the log that holds a word."""
@@ -379,6 +406,100 @@
     assert world.process.wait(PATIENCE) == 0 and time.monotonic() - started < 3.7
 
 
+@pytest.fixture()
+def litter(tmp_path: Path) -> Iterator[None]:
+    """Fill the shared folder with what others may have left there, newer than any offer."""
+    prefix = Place(tmp_path, Address("127.0.0.1", 0)).prefix
+    (tmp_path / f"{prefix}fffffffffffffff1").write_text("no socket")
+    (tmp_path / f"{prefix}fffffffffffffff2").mkdir()
+    with contextlib.ExitStack() as stack:
+        stale, foreign = (stack.enter_context(socket.socket(socket.AF_UNIX)) for _ in range(2))
+        stale.bind(str(tmp_path / f"{prefix}fffffffffffffff3"))
+        stale.close()
+        foreign.bind(str(tmp_path / f"{prefix}fffffffffffffff4"))
+        foreign.listen()
+
+        def answer() -> None:
+            with contextlib.suppress(OSError):
+                while True:
+                    made = foreign.accept()[0]
+                    # A socket that does not listen, and half an answer: no offer.
+                    socket.send_fds(made, [b'{"spare": 9}\r\n'], [made.fileno()])
+                    made.close()
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        yield
+        foreign.shutdown(socket.SHUT_RDWR)
+        thread.join()
+
+
+def test_a_new_version_takes_over_and_nobody_meets_a_closed_door(world: World, litter: None) -> None:
+    client, server = world.stand()
+    new = world.beside()
+    # Guards against a yes with a list as old as the file: the whole list is asked for first.
+    assert new.query.split(" ")[1] == "/catalog/members" and new.call("PING").startswith("fail")
+    there, there_server = world.stand(2)
+    half = world.client()
+    half.sock.sendall(ask(3).encode()[:20])  # taken by the old one, which reads it to its end
+    world.call("PING")
+    new.tell(9, new.entries(), snapshot=True)
+    assert new.port == world.port and new.call("PING").startswith("ok")
+    world.log_line("a new version serves")
+    newer, newer_server = new.stand(4)
+    assert "1 connections stand" in new.call("PING") and "2 connections stand" in world.call("PING")
+    started = time.monotonic()
+    world.process.send_signal(signal.SIGTERM)
+    half.sock.sendall(ask(3).encode()[20:] + b"\r\n")
+    half_server, _ = world.servers[0].asked()
+    half_server.send("UP 3")
+    assert half.read() == "UP 3" and half.read() == "MOVE"
+    for each, other in ((client, server), (there, there_server)):
+        assert each.read() == "MOVE" and each.ended() and other.ended()
+    assert world.process.wait(PATIENCE) == 0 and time.monotonic() - started < 3.7
+    newer.send("M 1")
+    assert newer_server.read() == "M 1"
+    after, _ = new.stand(5)
+    assert "2 connections stand" in new.call("PING") and new.process.poll() is None
+    # The next version finds this one, though files of others lie there still.
+    newest = new.beside()
+    newest.tell(9, newest.entries(), snapshot=True)
+    assert newest.port == world.port and newest.call("PING").startswith("ok")
+    newest.end()
+    new.end()
+
+
+def test_a_new_version_that_dies_leaves_the_old_one_serving(world: World) -> None:
+    new = world.beside()
+    new.tell(9, new.entries(), snapshot=True)
+    assert new.port == world.port
+    world.log_line("a new version serves")
+    new.end()
+    world.log_line("is gone")
+    standing = world.stand()
+    assert "1 connections stand" in world.call("PING") and standing
+
+
+def test_a_new_version_without_a_list_serves_in_time(world: World) -> None:
+    started = time.monotonic()
+    new = world.beside()
+    assert new.port == world.port
+    assert new.call("PING").startswith("ok") and time.monotonic() - started < 6
+    new.end()
+
+
+def test_a_new_version_that_finds_no_offer_listens_beside_the_old_one(world: World, tmp_path: Path) -> None:
+    for each in tmp_path.glob("sd-*"):
+        each.unlink()
+    world.env = {**world.env, "PROXY_LISTEN": f"127.0.0.1:{world.port}"}
+    new = world.beside()
+    assert new.port == world.port and new.call("PING").startswith("ok")
+    world.process.send_signal(signal.SIGTERM)
+    assert world.process.wait(PATIENCE) == 0
+    new.stand()
+    new.end()
+
+
 def test_a_relay_whose_deadlines_are_short_is_gone_before_its_earlier_kill(tmp_path: Path) -> None:
     # Guards against an end timed by 3 s where the kill comes at the longest deadline plus 0.7 s.
     settings = {**SETTINGS, "Classes": [{**SETTINGS["Classes"][0], "Deadline": 900_000_000}]}
