Give the tests of two versions a log that can't hang, and count closed sockets as closed

Lines are all looked at now, and a relay that logs nothing in time is ended. The test of the split descriptors counted sockets that were told to go but not closed yet; the lobby was right.

--- a/tests/test_lobby_model.py
+++ b/tests/test_lobby_model.py
@@ -127,6 +127,7 @@
     for number, each in enumerate(asking):
         each.receive(b"OPEN b%d 7f3a c=browse,d=80000000\r\n" % number)
     came = [wire for _ in range(3 * MOST) if (wire := new.knock())]
+    new.reactor.advance(0)  # those that gave way are closed
     held = OWN + 2 * old.lobby.asked + OWN + sum(not wire.lost for wire in came)
     assert old.lobby.asked == 29 and came and held <= 2 * MOST
     assert old.lobby.spare() == spare, "a guest who asks was counted as such"
--- a/tests/test_relay_process.py
+++ b/tests/test_relay_process.py
@@ -120,6 +120,7 @@
 
     def run(self) -> None:
         """Start the program and wait until operators can call it."""
+        self.listens = 0
         self.process = subprocess.Popen([sys.executable, "-m", "scaledeal"], cwd=ROOT, env=self.env,
                                         stderr=subprocess.PIPE, text=True)
         self.admin = int(self.log_line("operators call").rpartition(":")[2])
@@ -127,7 +128,6 @@
     def beside(self) -> World:
         """Start a new version beside this one, and wait until it asks for the list."""
         new = copy.copy(self)
-        new.__dict__.pop("listens", None)
         new.run()
         new.watch, new.query = new.next_watch(new.discovery.accept())
         return new
@@ -139,18 +139,23 @@
     @property
     def port(self) -> int:
         """The port that it listens on, once it does."""
-        if "listens" not in self.__dict__:
-            found = re.search(r"listens on 127.0.0.1:(\d+)", self.log_line("listens on"))
-            assert found
-            self.__dict__["listens"] = int(found[1])
-        return int(self.__dict__["listens"])
+        while not self.listens:
+            self.log_line("listens on")
+        return self.listens
 
     def log_line(self, word: str) -> str:
-        """Return the next line of the log that holds a word."""
+        """Return the next line of the log that holds a word; a relay that logs none in time is ended."""
         assert self.process.stderr is not None
-        for line in self.process.stderr:
-            if word in line:
-                return line
+        watchdog = threading.Timer(PATIENCE, self.process.kill)
+        watchdog.start()
+        try:
+            for line in self.process.stderr:
+                if found := re.search(r"listens on 127.0.0.1:(\d+)", line):
+                    self.listens = int(found[1])
+                if word in line:
+                    return line
+        finally:
+            watchdog.cancel()
         raise AssertionError("the log ended")
 
     def reload(self, text: str, word: str = "") -> str:
