Tell the figures on INFO, each counted once where its event happens

Final answers are counted in Transaction, attempts written whole where ProxyPass._written hears of the last byte, open requests off the driver's table. The model of one request checks every count after every step; its fake socket now sends nothing of what was queued when it is reset, as a real one.

--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -13,6 +13,7 @@
 
 from scaledeal import interface as api
 from scaledeal.net.delays import Delays
+from scaledeal.net.figures import Figures
 from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.sides import Agent, Ask, Prober
@@ -27,7 +28,7 @@
 class Driver:
     """Owns the balancer, the clock, its timers and the table of transactions."""
 
-    def __init__(self, reactor: Reactor, settings: api.Settings, seed: int,
+    def __init__(self, reactor: Reactor, settings: api.Settings, seed: int, figures: Figures,
                  clock: Callable[[], int] = time.monotonic_ns) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -36,6 +37,7 @@
         self.addresses: dict[str, str] = {}  # where each application server was last said to be
         self.delays = Delays(tuple(each.message_aim for each in settings.classes), self.now)
         self.load_lines = LoadLines(self.delays.least / 1e6, self.now)
+        self.figures = figures
         self.draining = False  # whatever comes up is moved at once
         self.prober: Prober | None = None
         self.watch: Callable[[], None] = lambda: None
@@ -108,6 +110,12 @@
         """Return the transactions whose connections stand."""
         return [each for each in self.transactions.values() if each.state is State.STANDING]
 
+    def levels(self) -> dict[str, int]:
+        """Return the figures that are no counts."""
+        listed, avoided = self.balancer.rotation()
+        owed = sum(each.state is not State.OVER for each in self.transactions.values())
+        return {"open_requests": owed, "registry_entries": listed, "out_of_rotation": avoided}
+
     def forget(self, transaction: Transaction) -> None:
         """Take a transaction off the table."""
         self.transactions.pop(transaction.handle, None)
--- a/scaledeal/net/proxy_pass.py
+++ b/scaledeal/net/proxy_pass.py
@@ -167,6 +167,7 @@
     def _written(self) -> None:
         if self.stage is Stage.SENDING:
             self.stage = Stage.WAITING
+            self.events.written()
 
     def _answer(self, line: bytes) -> None:
         """Take a line that comes before the connection stands."""
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -18,6 +18,7 @@
 from scaledeal.net.config import Config
 from scaledeal.net.driver import Driver
 from scaledeal.net.farm import Farm
+from scaledeal.net.figures import Figures
 from scaledeal.net.gate import Door, Gate
 from scaledeal.net.handover import Claim, Offer, Place
 from scaledeal.net.health_probe import HealthProbes
@@ -47,7 +48,8 @@
         self.reactor = reactor
         self.config = config
         document = config.document
-        self.driver = Driver(reactor, config.settings, config.seed)
+        self.figures = Figures(tuple(entry.name for entry in document.classes))
+        self.driver = Driver(reactor, config.settings, config.seed, self.figures)
         pool = BufferPool()
         trade = Trade(reactor, pool, self.driver.now, report_reader(document.report.fields),
                       int(document.caps.dial_timeout))
@@ -63,6 +65,7 @@
         self.service = Service(self.driver)
         self.operators = Operators(reactor, pool, {
             b"PING": lambda: self._told(self.service.stage is Stage.SERVING),
+            b"INFO": lambda: "\n".join(["ok", *self.figures.lines(self.driver.levels()), "eof"]),
             b"LAMEDUCK": lambda: self._told(self.service.lame_duck()),
             b"REJOIN": lambda: self._told(self.service.rejoin()),
         })
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -25,6 +25,9 @@
 class PassEvents(Protocol):
     """Who hears of a proxy pass."""
 
+    def written(self) -> None:
+        """Hear that the first line's last byte is written: from here on it may have run."""
+
     def established(self) -> None:
         """Hear that the connection stands."""
 
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -11,6 +11,7 @@
 
 from scaledeal import interface as api
 from scaledeal.net.delays import Delays
+from scaledeal.net.figures import Figures
 from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.ports import Timer
 from scaledeal.net.sides import Agent, Ask, Pass
@@ -34,6 +35,7 @@
     """What a transaction needs of the driver."""
 
     draining: bool
+    figures: Figures
     delays: Delays
     load_lines: LoadLines
 
@@ -69,6 +71,7 @@
         self.current: Pass | None = None
         self.server = ""
         self.began = 0
+        self.counts = desk.figures.counts[ask.request_class]
         self.told_silent = 0  # since when the message waits whose silence the module was told of
         self.timer: Timer | None = desk.later(max(0, ask.deadline - desk.now()) + SLACK, self._answer_owed)
 
@@ -89,11 +92,13 @@
     def refuse(self, retry_after: int) -> None:
         """Answer: refused."""
         if self._answered():
+            self.counts.throttled += 1
             self.agent.refuse(retry_after)
 
     def fail(self) -> None:
         """Answer: failed."""
         if self._answered():
+            self.counts.faulted += 1
             self.agent.fail()
 
     def cancel(self, number: int) -> None:
@@ -117,8 +122,13 @@
 
     # News of the pass
 
+    def written(self) -> None:
+        """Hear that the pass's first line is written whole."""
+        self.counts.relayed += 1
+
     def established(self) -> None:
         """Hear that the connection stands."""
+        self.counts.fulfilled += 1
         self.state = State.STANDING
         self._stop_timer()
         ask = self.ask
@@ -169,6 +179,7 @@
         self.current = None
         stood = self.state is State.STANDING
         if stood or (result is api.Result.OK and self.state is State.WAITING):
+            self.counts.fulfilled += not stood  # served to its end at once
             self.state = State.OVER
             self._stop_timer()
             self.agent.ended(broke)
@@ -218,6 +229,7 @@
         self.timer = None
         if self._answered():
             self.desk.overdue(self)
+            self.counts.faulted += 1
             self.agent.fail()
             self.desk.post(api.ClientGone(self.handle))
 
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -337,11 +337,7 @@
         return sum(self.load_sum) / sum(self.load_count) if any(self.load_count) else 1.0
 
     def _own_load(self, server: Server) -> float:
-        load = server.told_load
-        for cls, count in enumerate(server.untold):
-            if count:
-                load += count * self._charge(cls)
-        return load
+        return server.told_load + sum(n * self._charge(c) for c, n in enumerate(server.untold) if n)
 
     def _utilisation(self, server: Server) -> float | None:
         """Return the load asked of a server over what it can do, as far as reports tell."""
@@ -466,9 +462,18 @@
     def _ready(self, flight: Flight) -> list[Server]:
         """Return the servers a new connection may go to; the doubtful ones only when there are no others."""
         live = [s for s in self.live if self._allowed(flight, s)] if flight.attempts else self.live
-        live = [s for s in live if not s.started or not self._cold(s) or self._cold_room(s, flight.cls)]
+        return self._in_rotation(live, flight.cls)
+
+    def _in_rotation(self, live: list[Server], cls: int) -> list[Server]:
+        live = [s for s in live if not s.started or not self._cold(s) or self._cold_room(s, cls)]
         return [s for s in live if not self._suspect(s)] or live
 
+    def rotation(self) -> tuple[int, int]:
+        """Return how many servers are listed, and how many of those no new connection goes to now."""
+        listed = sum(s.state is not api.ServerState.GONE for s in self.servers.values())
+        used = {s.id for c in range(len(self.settings.classes)) for s in self._in_rotation(self.live, c)}
+        return listed, listed - len(used)
+
     def _pick(self, flight: Flight, ready: list[Server]) -> Server | None:
         """Take one of the flight's top two ready servers."""
         key = flight.place_key
@@ -598,8 +603,7 @@
         server.pending -= 1
         self.pending -= 1
         self.window += 1 / self.window
-        server.strikes = server.suspect_until = 0
-        server.doubted = False
+        server.strikes, server.suspect_until, server.doubted = 0, 0, False
         self.tenant_open[flight.tenant] += 1
         self.set_up_time += (event.elapsed - self.set_up_time) * (0.1 if self.set_up_time else 1.0)
         # Guards against an estimate blown up by clients that come back after a break: no new demand.
--- a/tests/netfakes.py
+++ b/tests/netfakes.py
@@ -13,6 +13,7 @@
 from scaledeal import interface as api
 from scaledeal.net.buffers import BufferPool
 from scaledeal.net.driver import Driver
+from scaledeal.net.figures import Figures
 from scaledeal.net.gate import Door
 from scaledeal.net.health_probe import HealthProbes
 from scaledeal.net.lines import LineLink
@@ -34,6 +35,7 @@
         self.clock, self.link = clock, link
         self.queued, self.sent = b"", b""
         self.fin_sent = self.fin_due = self.closing = self.lost = self.paused = False
+        self.aborted = False
         self.bufferSize = 0
         self.producer: Any = None
         self.streaming = True
@@ -45,7 +47,7 @@
             self.queued += data
 
     def flush(self) -> None:
-        if self.lost:
+        if self.lost or self.aborted:  # what is queued when a connection is reset is never sent
             return
         assert not (self.fin_sent and self.queued)
         self.sent, self.queued = self.sent + self.queued, b""
@@ -63,7 +65,7 @@
         self.fin_due = True
 
     def abortConnection(self) -> None:
-        self.closing = True
+        self.closing = self.aborted = True
         self.clock.callLater(0, self.lose, error.ConnectionAborted())
 
     def pauseProducing(self) -> None:
@@ -153,6 +155,9 @@
         self.seen.append(event)
         return self.reply(event)
 
+    def rotation(self) -> tuple[int, int]:
+        return 2, 0
+
     def of(self, kind: type) -> list[Any]:
         return [event for event in self.seen if type(event) is kind]
 
@@ -164,7 +169,8 @@
         self.reactor = FakeReactor()
         self.reactor.advance(1000)  # a clock at 0 means "never" here
         self.pool = BufferPool()
-        self.driver = Driver(self.reactor, SETTINGS, 1, lambda: int(self.reactor.seconds() * 1e9))
+        self.driver = Driver(self.reactor, SETTINGS, 1, Figures(("browse",)),
+                             lambda: int(self.reactor.seconds() * 1e9))
         self.module = Scripted()
         self.driver.balancer = self.module  # type: ignore[assignment]
         trade = Trade(self.reactor, self.pool, self.driver.now, report_reader(("fail_rate", "rif", "x0")),
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -56,6 +56,26 @@
     assert abs(used.count(used[0]) - 15) <= 1
 
 
+def test_out_of_rotation_are_those_that_no_new_connection_goes_to():
+    driver = Driver(REPORTS, servers=4)
+    assert driver.balancer.rotation() == (4, 0)
+    driver.event(api.ProbeResult("s0", api.Result.TIMEOUT, MS))
+    assert driver.balancer.rotation() == (4, 1)
+    driver.members(api.MembershipKind.CHANGES, entries(2, state=api.ServerState.DRAINING)[1:])
+    assert driver.balancer.rotation() == (4, 2), "one is suspected, one drains"
+    new = api.ServerEntry("s9", started=driver.now)
+    driver.members(api.MembershipKind.CHANGES, (new,))
+    assert driver.balancer.rotation() == (5, 3), "cold, and no estimate yet of what it can take"
+    used = {driver.server_of(name) for name in fill(driver, 30)}
+    assert used == {"s2", "s3"}
+    driver.members(api.MembershipKind.CHANGES, (api.ServerEntry("s1", state=api.ServerState.GONE),))
+    assert driver.balancer.rotation() == (4, 2)
+    for name in ("s2", "s3", "s9"):
+        driver.members(api.MembershipKind.CHANGES, (api.ServerEntry(name, state=api.ServerState.GONE),))
+    # Guards against a figure that says all are avoided while the last suspect serves.
+    assert driver.balancer.rotation() == (1, 0)
+
+
 def test_a_mid_flow_connection_goes_to_its_top_server_unchecked():
     driver = Driver(servers=6)
     top = ranking("one", [f"s{i}" for i in range(6)])[0]
--- a/tests/test_net_model.py
+++ b/tests/test_net_model.py
@@ -42,6 +42,7 @@
         self.sends = 0
         self.told: dict[int, api.Result] = {}  # what the model expects of each pass that has ended
         self.stood = False
+        self.too_late = 0
         self.over = False  # nothing more may be answered
         self.moved = False
         self.early: list[bytes] = []
@@ -254,6 +255,7 @@
         if part and wire.sent:
             wire.receive(b"half a li")
         ran = bool(wire.sent)
+        self.too_late += not ran  # what is written to a server that has ended may be counted or not
         if broke:
             wire.lose(error.ConnectionLost())
         else:
@@ -306,6 +308,18 @@
         open_now = [w for w in self.bench.wires() if not w.lost and not w.closing]
         assert len(open_now) + sum(not d.over for d in self.bench.reactor.dialled) <= 1, "two attempts out"
 
+    @invariant()
+    def each_answer_and_each_line_written_whole_is_counted_once(self) -> None:
+        counts, lines = self.bench.driver.figures.counts[0], self.client.lines() if self.client else []
+        words = [line.split(b" ")[0] for line in lines[:1]]
+        answered = counts.fulfilled + counts.throttled + counts.faulted
+        assert answered <= 1 and counts.fulfilled == int(self.stood or words == [b"BYE"])
+        if not self.client_left:
+            assert (counts.throttled, counts.faulted) == (words == [b"BUSY"], words == [b"ERR"])
+        written = sum(b"\r\n" in wire.sent for wire in self.bench.wires())
+        assert written - self.too_late <= counts.relayed <= written
+        assert self.bench.driver.levels()["open_requests"] == int(self.client is not None and not self.over)
+
     @invariant()
     def every_send_has_one_outcome(self) -> None:
         outcomes = self.events(api.Outcome)
--- a/tests/test_relay_process.py
+++ b/tests/test_relay_process.py
@@ -390,6 +390,31 @@
     assert server.read() == "M 1"
 
 
+def test_info_tells_what_has_crossed_the_sockets(world: World) -> None:
+    def figures() -> dict[str, int]:
+        first, *lines, last = world.call("INFO").split("\r\n")
+        assert first == "ok" and last == "eof"
+        return {name: int(value) for name, value in (line.split(" ") for line in lines)}
+
+    assert set(figures().values()) == {0, 1} and figures()["relay_registry_entries"] == 1
+    standing = world.stand()
+    refused = world.client(ask(2))
+    turned_away, _ = world.servers[0].asked()
+    turned_away.send("BUSY")
+    assert refused.read().startswith("BUSY")
+    world.client("nonsense").read()
+    world.tell(7, world.entries(status="leaving"))
+    told = figures()
+    assert told.pop('relay_relayed_total{priority="browse"}') >= 2  # the module may have tried again
+    assert told == {
+        'relay_fulfilled_total{priority="browse"}': 1, 'relay_throttled_total{priority="browse"}': 1,
+        'relay_faulted_total{priority="browse"}': 0,
+        "relay_open_requests": 1, "relay_registry_entries": 1, "relay_out_of_rotation": 1}
+    standing[0].close()
+    while figures()["relay_open_requests"]:
+        pass
+
+
 def test_callers_that_stall_do_not_keep_others_waiting(world: World) -> None:
     stalling = [Line(socket.create_connection(("127.0.0.1", world.admin), PATIENCE)) for _ in range(30)]
     for each in stalling[::2]:
