Tell a new version's module what stands at the old one, so that clients come back to their group

Checked by logging each relay's view of every server twice a second: for 1.5 s the new module has no loads and no capacity (unit 0), and placed what the old one moved by rank alone; two of five servers reached 1.20 and 1.18 of their capacity, and groups stood on two servers at once. Ruled out: the door (0 ended there), CPU (0.45 of 0.85), refusals (none), a stale list (whole list before the yes).

The old process tells what stands there five times a second over the Unix socket; the new one's module hears it as OpenConnection and LOAD notes, and as left when it ends.

--- a/scaledeal/interface.py
+++ b/scaledeal/interface.py
@@ -206,7 +206,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenConnection:
-    """A connection that ran through this gateway already when the balancer started."""
+    """A connection that ran through this gateway already when the balancer started.
+
+    One that stands ``elsewhere`` is held by the process that this one takes over from, and ends there soon.
+    """
 
     request: str
     request_class: int
@@ -215,6 +218,7 @@
     group: str = ""
     tenant: int = 0
     load_hint: float = 0.0
+    elsewhere: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/scaledeal/net/handover.py
+++ b/scaledeal/net/handover.py
@@ -12,7 +12,6 @@
 import socket
 import stat
 import time
-from collections.abc import Callable
 from hashlib import blake2b
 from pathlib import Path
 from typing import Any, Protocol, cast
@@ -27,6 +26,7 @@
 from zope.interface import implementer
 
 from scaledeal.net.config import Address
+from scaledeal.net.inherited import Standing
 from scaledeal.net.ports import Port, Reactor, Timer
 
 log = logging.getLogger("scaledeal.handover")
@@ -36,12 +36,21 @@
 TELL = 0.2  # seconds between two words on the descriptors left over
 
 
-class Passing(msgspec.Struct, frozen=True):
+class Passing(msgspec.Struct, frozen=True, tag="spare"):
     """What the old process says: how many descriptors the new one may hold."""
 
     spare: int
 
 
+class Left(msgspec.Struct, frozen=True, tag="left"):
+    """What the old process says of a connection that has ended there."""
+
+    handle: str
+
+
+_told = msgspec.json.Decoder(Passing | Standing | Left)
+
+
 class Serving(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the new process says once it takes clients."""
 
@@ -83,6 +92,9 @@
     def spare(self) -> int:
         """Return how many descriptors a successor may hold."""
 
+    def standing(self) -> dict[str, Standing]:
+        """Return the connections that stand here."""
+
     def succeeded(self, there: bool, serving: bool) -> None:
         """Hear whether a successor is there, and whether it serves."""
 
@@ -136,6 +148,7 @@
     def __init__(self, offer: Offer) -> None:
         self.offer = offer
         self.told = -1
+        self.told_standing: dict[str, Standing] = {}
         self.timer: Timer | None = None
 
     def connectionMade(self) -> None:  # noqa: N802, D102
@@ -167,25 +180,45 @@
         spare = self.offer.giver.spare()
         if spare != self.told:
             self.told = spare
-            cast(Any, self).sendLine(msgspec.json.encode(Passing(spare)))
+            self._say(Passing(spare))
+        standing, before = self.offer.giver.standing(), self.told_standing
+        for handle in before.keys() - standing.keys():
+            self._say(Left(handle))
+        for handle, each in standing.items():
+            if before.get(handle) != each:
+                self._say(each)
+        self.told_standing = standing
         self.timer = self.offer.reactor.callLater(TELL, self._tell)
 
+    def _say(self, what: msgspec.Struct) -> None:
+        cast(Any, self).sendLine(msgspec.json.encode(what))
 
-class Claim(ClientFactory):
-    """The new side: claims the socket from whoever offers it, and hears what it may hold.
 
-    ``come`` is called once, with the listening descriptor (which the caller owns from then on) or None;
-    ``may_hold`` whenever the old process tells of its spare descriptors, and with None once it is gone.
-    """
+class Heir(Protocol):
+    """The relay that claims."""
+
+    def come(self, descriptor: int | None) -> None:
+        """Take the listening descriptor, once, and own it from then on; None where nobody hands one over."""
+
+    def may_hold(self, count: int | None) -> None:
+        """Hear how many descriptors the old process leaves; None once it is gone."""
+
+    def inherit(self, told: Standing) -> None:
+        """Hear of a connection that stands at the old process, or of its load."""
+
+    def inherited_left(self, handle: str) -> None:
+        """Hear that one of those has ended there."""
+
+
+class Claim(ClientFactory):
+    """The new side: claims the socket from whoever offers it, and hears of that process until it is gone."""
 
     noisy = False
 
-    def __init__(self, reactor: Reactor, place: Place, come: Callable[[int | None], None],
-                 may_hold: Callable[[int | None], None]) -> None:
+    def __init__(self, reactor: Reactor, place: Place, heir: Heir) -> None:
         self.reactor = reactor
         self.place = place
-        self.come = come
-        self.may_hold = may_hold
+        self.heir = heir
         self.offers = place.offers()
         self.holder: Predecessor | None = None  # who has handed it over
 
@@ -194,7 +227,7 @@
         if self.offers:
             self.reactor.connectUNIX(self.offers.pop(0), self, PATIENCE)
         else:
-            self.come(None)
+            self.heir.come(None)
 
     def serving(self) -> None:
         """Tell the old process that clients are taken here."""
@@ -222,19 +255,24 @@
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802, D102
         try:
-            spare = msgspec.json.decode(line, type=Passing).spare
+            told = _told.decode(line)
         except msgspec.MsgspecError:
             self._give_up()
             return
-        if self.claim.holder is self:
-            self.claim.may_hold(spare)
-        elif self.descriptors and _listens(self.descriptors[0], self.claim.place.listen):
+        heir, first = self.claim.heir, self.claim.holder is not self
+        if first and not (isinstance(told, Passing) and self._proven()):
+            self._give_up()
+            return
+        if isinstance(told, Passing):
+            heir.may_hold(told.spare)
+        elif isinstance(told, Standing):
+            heir.inherit(told)
+        else:
+            heir.inherited_left(told.handle)
+        if first:
             self.timer.cancel()
             self.claim.holder = self
-            self.claim.may_hold(spare)
-            self.claim.come(self.descriptors.pop(0))
-        else:
-            self._give_up()
+            heir.come(self.descriptors.pop(0))
 
     def connectionLost(self, reason: Failure = cast(Failure, None)) -> None:  # noqa: N802, B008, D102
         if self.timer.active():
@@ -243,10 +281,13 @@
             os.close(descriptor)
         if self.claim.holder is self:
             self.claim.holder = None
-            self.claim.may_hold(None)
+            self.claim.heir.may_hold(None)
         else:
             self.claim.begin()
 
+    def _proven(self) -> bool:
+        return bool(self.descriptors) and _listens(self.descriptors[0], self.claim.place.listen)
+
     def _give_up(self) -> None:
         cast(Any, self.transport).abortConnection()
 
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -22,6 +22,7 @@
 from scaledeal.net.gate import Door, Gate
 from scaledeal.net.handover import Claim, Offer, Place
 from scaledeal.net.health_probe import HealthProbes
+from scaledeal.net.inherited import Inherited, Standing, standing
 from scaledeal.net.lobby import OWN, Lobby, most_descriptors
 from scaledeal.net.operators import Operators
 from scaledeal.net.ports import Port, Reactor
@@ -73,6 +74,7 @@
         self.offer: Offer | None = None  # to a new version
         self.claim: Claim | None = None  # on the socket of the process that serves
         self.adopted = False  # the listening socket was handed over
+        self.inherited = Inherited(self.driver)
         self.replaced = False  # a new version serves
         self.gone = False
         self.failure = ""  # why this relay could not start
@@ -91,14 +93,14 @@
             return
         self.driver.look_round()
         if self.config.folder is None:
-            self._open(None)
+            self.come(None)
         else:
             place = Place(self.config.folder, self.config.listen)
             self.offer = Offer(self.reactor, place, self)
-            self.claim = Claim(self.reactor, place, self._open, self._may_hold)
+            self.claim = Claim(self.reactor, place, self)
             self.claim.begin()
 
-    def _open(self, descriptor: int | None) -> None:
+    def come(self, descriptor: int | None) -> None:
         """Listen on the socket that was handed over, or on one of our own."""
         self.farm.start_with(self.config.known, descriptor is not None)
         if descriptor is None:
@@ -173,10 +175,27 @@
             log.warning("the new version is gone: clients are taken here again")
             self.port.startReading()
 
-    def _may_hold(self, count: int | None) -> None:
+    def standing(self) -> dict[str, Standing]:
+        """Return the connections that stand here."""
+        return standing(self.driver)
+
+    # Taking over from an old version
+
+    def inherit(self, told: Standing) -> None:
+        """Hear of a connection that stands at the old process."""
+        self.inherited.stands(told)
+
+    def inherited_left(self, handle: str) -> None:
+        """Hear that it has ended there."""
+        self.inherited.left(handle)
+
+    def may_hold(self, count: int | None) -> None:
+        """Hear how many descriptors the old process leaves; None once it is gone."""
         # Guards against two processes that together hold more descriptors than one relay may.
         lobby = self.door.reception.lobby
         lobby.lent = max(0, lobby.most - count) if count is not None else 0
+        if count is None:
+            self.inherited.all_left()
 
     def _told(self, yes: bool) -> str:
         stage = self.service.stage.name.lower().replace("_", " ")
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -699,7 +699,7 @@
         if server is None:
             server = self._meet(event.server)
             server.state = api.ServerState.GONE
-        self.adopted = True
+        self.adopted |= not event.elsewhere
         flight = self._flight(event, 0)
         flight.attempts.append(Attempt(server, self.now))
         flight.opened = True
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -56,6 +56,21 @@
     assert abs(used.count(used[0]) - 15) <= 1
 
 
+def test_a_new_version_places_a_group_where_the_old_one_holds_it():
+    names = [f"s{i}" for i in range(6)]
+    far = ranking("map", names)[4]
+    driver = Driver(replace(REPORTS, zone_price=0.0), servers=6)
+    for number in range(5):
+        driver.event(api.OpenConnection(f"old-{number}", 0, far, group="map", elsewhere=True))
+        driver.event(api.Note(f"old-{number}", 0, far, api.NoteKind.LOAD, 900.0))
+    assert not driver.balancer.adopted, "clients that come back are let in as after a restart"
+    driver.arrive("r", key="x", group="map")
+    assert driver.server_of("r") == far
+    assert driver.balancer.unit == 0.0
+    report(driver, **{far: 0.5})
+    assert driver.balancer.unit, "the capacity is learned from the first report on"
+
+
 def test_out_of_rotation_are_those_that_no_new_connection_goes_to():
     driver = Driver(REPORTS, servers=4)
     assert driver.balancer.rotation() == (4, 0)
