Hand connections that stand to the new version, sockets and all, so that none is moved

Cause: the end of the old process (Relay.drain) knew no other way than MOVE. Ruled out as a way to less: the pace of the moves, which has no influence on their price or number.

The old process stops reading both sockets of a quiet connection, passes them with what has come of unfinished lines, and closes its own without shutting them down once the new one says it has them; else it reads on.

--- a/scaledeal/interface.py
+++ b/scaledeal/interface.py
@@ -208,7 +208,7 @@
 class OpenConnection:
     """A connection that ran through this gateway already when the balancer started.
 
-    One that stands ``elsewhere`` is held by the process that this one takes over from, and ends there soon.
+    One that is ``inherited`` stands, or stood, at the process of this gateway that this one takes over from.
     """
 
     request: str
@@ -218,7 +218,7 @@
     group: str = ""
     tenant: int = 0
     load_hint: float = 0.0
-    elsewhere: bool = False
+    inherited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -106,6 +106,20 @@
                                   ask.tenant, returning=ask.returning, load_hint=ask.load_hint))
         return transaction
 
+    def resume(self, ask: Ask, agent: Agent, server: str, load: float) -> Transaction:
+        """Take a connection that another process has brought up, and tell the module of it."""
+        self._numbered += 1
+        transaction = Transaction(self, f"t{self._numbered}", ask, agent)
+        self.transactions[transaction.handle] = transaction
+        transaction.resumed(server)
+        self.post(api.OpenConnection(transaction.handle, ask.request_class, server, ask.key, ask.group,
+                                     ask.tenant, inherited=True))
+        if load > 0:
+            # A connection's first LOAD is its load: that one has been.
+            self.load_lines.loads[transaction.handle] = load
+            transaction.note(api.NoteKind.LOAD, load)
+        return transaction
+
     def standing(self) -> list[Transaction]:
         """Return the transactions whose connections stand."""
         return [each for each in self.transactions.values() if each.state is State.STANDING]
--- a/scaledeal/net/handover.py
+++ b/scaledeal/net/handover.py
@@ -33,6 +33,7 @@
 
 PATIENCE = 2.0  # seconds that the old process gets to hand its socket over
 TRIES = 4  # offers that are tried, the newest first
+LONGEST = 1 << 15  # bytes of the longest word between them: three lines of a client's, encoded
 TELL = 0.2  # seconds between two words on the descriptors left over
 
 
@@ -48,13 +49,29 @@
     handle: str
 
 
-_told = msgspec.json.Decoder(Passing | Standing | Left)
+class Handed(msgspec.Struct, frozen=True, tag="handed"):
+    """What the old process says of a connection whose sockets it has passed just before."""
 
+    handle: str
+    server: str
+    load: float
+    state: bytes
+
+
+class Taken(msgspec.Struct, frozen=True, tag="taken"):
+    """What the new process says once it has that."""
+
+    handle: str
 
-class Serving(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+
+
+
+class Serving(msgspec.Struct, frozen=True, tag="serving"):
     """What the new process says once it takes clients."""
 
-    serving: bool
+
+_of_predecessor = msgspec.json.Decoder(Passing | Standing | Left | Handed)
+_of_successor = msgspec.json.Decoder(Serving | Taken)
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -98,6 +115,9 @@
     def succeeded(self, there: bool, serving: bool) -> None:
         """Hear whether a successor is there, and whether it serves."""
 
+    def taken(self, handle: str) -> None:
+        """Hear that the successor has a connection that was handed over."""
+
 
 class Offer(ServerFactory):
     """The old side: owns the Unix socket, and knows its one successor."""
@@ -162,12 +182,22 @@
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802, D102
         try:
-            serving = msgspec.json.decode(line, type=Serving).serving
+            told = _of_successor.decode(line)
         except msgspec.MsgspecError:
             cast(Any, self.transport).loseConnection()
             return
-        if self.offer.successor is self:
-            self.offer.giver.succeeded(True, serving)
+        if self.offer.successor is not self:
+            return
+        if isinstance(told, Taken):
+            self.offer.giver.taken(told.handle)
+        else:
+            self.offer.giver.succeeded(True, True)
+
+    def hand(self, told: Handed, descriptors: tuple[int, ...]) -> None:
+        """Pass a connection's sockets and what there is to say of it."""
+        for descriptor in descriptors:
+            cast(Any, self.transport).sendFileDescriptor(descriptor)
+        self._say(told)
 
     def connectionLost(self, reason: Failure = cast(Failure, None)) -> None:  # noqa: N802, B008, D102
         if self.timer is not None and self.timer.active():
@@ -209,6 +239,9 @@
     def inherited_left(self, handle: str) -> None:
         """Hear that one of those has ended there."""
 
+    def take(self, told: Handed, descriptors: tuple[int, int]) -> bool:
+        """Go on with a connection, and tell whether that is done; the descriptors stay the caller's."""
+
 
 class Claim(ClientFactory):
     """The new side: claims the socket from whoever offers it, and hears of that process until it is gone."""
@@ -232,7 +265,7 @@
     def serving(self) -> None:
         """Tell the old process that clients are taken here."""
         if self.holder is not None:
-            cast(Any, self.holder).sendLine(msgspec.json.encode(Serving(True)))
+            cast(Any, self.holder).sendLine(msgspec.json.encode(Serving()))
 
     def buildProtocol(self, addr: IAddress | None) -> Predecessor:  # noqa: N802, D102
         return Predecessor(self)
@@ -245,6 +278,8 @@
 class Predecessor(LineOnlyReceiver):
     """The connection to the old process."""
 
+    MAX_LENGTH = LONGEST
+
     def __init__(self, claim: Claim) -> None:
         self.claim = claim
         self.descriptors: list[int] = []  # received and not yet handed on
@@ -255,7 +290,7 @@
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802, D102
         try:
-            told = _told.decode(line)
+            told = _of_predecessor.decode(line)
         except msgspec.MsgspecError:
             self._give_up()
             return
@@ -267,8 +302,10 @@
             heir.may_hold(told.spare)
         elif isinstance(told, Standing):
             heir.inherit(told)
-        else:
+        elif isinstance(told, Left):
             heir.inherited_left(told.handle)
+        else:
+            self._take(told)
         if first:
             self.timer.cancel()
             self.claim.holder = self
@@ -285,6 +322,13 @@
         else:
             self.claim.begin()
 
+    def _take(self, told: Handed) -> None:
+        pair, self.descriptors = self.descriptors[:2], self.descriptors[2:]
+        if len(pair) == 2 and self.claim.heir.take(told, (pair[0], pair[1])):
+            cast(Any, self).sendLine(msgspec.json.encode(Taken(told.handle)))
+        for descriptor in pair:
+            os.close(descriptor)
+
     def _proven(self) -> bool:
         return bool(self.descriptors) and _listens(self.descriptors[0], self.claim.place.listen)
 
--- a/scaledeal/net/inherited.py
+++ b/scaledeal/net/inherited.py
@@ -46,7 +46,7 @@
         name = f"old-{told.handle}"
         if told.handle not in self.held:
             self.driver.post(api.OpenConnection(name, told.request_class, told.server, told.key, told.group,
-                                                told.tenant, elsewhere=True))
+                                                told.tenant, inherited=True))
         self.held[told.handle] = told
         if told.load > 0:
             self.driver.post(api.Note(name, 0, told.server, api.NoteKind.LOAD, told.load))
--- a/scaledeal/net/lines.py
+++ b/scaledeal/net/lines.py
@@ -98,6 +98,36 @@
             self._sink = other
             other.wire.registerProducer(self, True)
 
+    # Another process
+
+    def quiet(self) -> bool:
+        """Tell whether nothing is under way here: the connection can be handed over."""
+        idle = self.wire is not None and not self.closing and not self._peer_ended
+        return idle and self.wire not in self.reactor.getWriters()
+
+    def hold(self) -> tuple[int, bytes]:
+        """Stop reading; return the descriptor, and what has come of a line that is not whole."""
+        assert self.wire is not None
+        self.wire.pauseProducing()
+        return self.wire.getHandle().fileno(), bytes(memoryview(self._part or b"")[:self._filled])
+
+    def go_on(self) -> None:
+        """Read on after ``hold``."""
+        if self.wire is not None:
+            self.wire.resumeProducing()
+
+    def let_go(self) -> None:
+        """Give up the socket without ending the connection: another process has it."""
+        wire, self.wire, self.closing = self.wire, None, True
+        self._stop_timer()
+        self._give_back()
+        if wire is not None:
+            wire.unregisterProducer()
+            wire.stopReading()
+            wire.stopWriting()
+            # Guards against an end that the peer would see: closed here, and not shut down.
+            wire.getHandle().close()
+
     # The producer that the other end's transport pauses
 
     def pauseProducing(self) -> None:  # noqa: N802, D102
--- a/scaledeal/net/ports.py
+++ b/scaledeal/net/ports.py
@@ -74,6 +74,15 @@
     def unregisterProducer(self) -> None:  # noqa: N802
         """Forget that."""
 
+    def getHandle(self) -> Any:  # noqa: N802
+        """Return the socket."""
+
+    def stopReading(self) -> None:  # noqa: N802
+        """Have the reactor read it no more."""
+
+    def stopWriting(self) -> None:  # noqa: N802
+        """Have the reactor write it no more."""
+
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Send short lines at once."""
 
@@ -90,6 +99,12 @@
     def connectUNIX(self, address: str, factory: Any, timeout: float) -> Connector:  # noqa: N802
         """Open a connection to a Unix socket."""
 
+    def adoptStreamConnection(self, descriptor: int, family: int, factory: Any) -> object:  # noqa: N802
+        """Go on with a connection that stands."""
+
+    def getWriters(self) -> list[Any]:  # noqa: N802
+        """Return the transports that have something to write."""
+
     def callWhenRunning(self, call: Callable[..., object], *args: Any) -> object:  # noqa: N802
         """Call once the reactor runs."""
 
--- a/scaledeal/net/proxy_pass.py
+++ b/scaledeal/net/proxy_pass.py
@@ -121,6 +121,15 @@
         if self.stage is Stage.STANDING:
             self._stop(api.Result.RESET)
 
+    def resumed(self, asked_at: int) -> None:
+        """Stand from the beginning: another process has brought it up."""
+        self.stage, self.asked_at = Stage.STANDING, asked_at
+
+    def let_go(self) -> None:
+        """Give up a connection that another process has."""
+        self.stage = Stage.ENDING
+        self.link.let_go()
+
     # What the user agent's side calls
 
     def message(self, line: bytes) -> None:
@@ -137,7 +146,7 @@
             self.connector = None
             self.stage = Stage.SENDING
             self.link.send_first(self.line, self._written)
-        else:
+        elif self.stage is not Stage.STANDING:
             self.link.reset()
 
     def connect_failed(self) -> None:
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -22,6 +22,13 @@
     standing_at: str = ""  # the application server at which the connection stood before the start
 
 
+class Carried(msgspec.Struct, frozen=True):
+    """A connection that stands, as another process goes on with it."""
+
+    descriptors: tuple[int, ...]
+    state: bytes  # what its protocol needs besides, for that protocol alone to read
+
+
 class PassEvents(Protocol):
     """Who hears of a proxy pass."""
 
@@ -81,6 +88,15 @@
     def ended(self, broke: bool) -> None:
         """Close as the application server's side did."""
 
+    def hand_over(self) -> Carried | None:
+        """Stop reading a connection that stands, and return it; None while anything of it is under way."""
+
+    def let_go(self) -> None:
+        """Give up what was handed over: another process has it."""
+
+    def keep(self) -> None:
+        """Read on: no other process has it."""
+
 
 class Prober(Protocol):
     """Who probes application servers."""
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -14,7 +14,7 @@
 from scaledeal.net.figures import Figures
 from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.ports import Timer
-from scaledeal.net.sides import Agent, Ask, Pass
+from scaledeal.net.sides import Agent, Ask, Carried, Pass
 
 MS = 1_000_000
 UNANSWERED = 250 * MS  # a message without an answer for so long is news before its answer comes
@@ -28,7 +28,8 @@
 
     WAITING = 1  # an answer is owed
     STANDING = 2  # served: lines pass both ways
-    OVER = 3  # answered, moved or left; a pass may still be closing
+    HANDED = 3  # offered to another process of this relay: nothing is read until that has it, or is gone
+    OVER = 4  # answered, moved or left; a pass may still be closing
 
 
 class Desk(Protocol):
@@ -120,6 +121,34 @@
             self.desk.post(api.ClientGone(self.handle))
             self.move()
 
+    # Another process of this relay
+
+    def resumed(self, server: str) -> None:
+        """Stand from the beginning: another process has brought it up."""
+        self.state, self.server, self.passes = State.STANDING, server, 1
+        self._stop_timer()
+
+    def hand_over(self) -> Carried | None:
+        """Offer a connection that stands to another process; None while that can't be done."""
+        carried = self.agent.hand_over() if self.state is State.STANDING else None
+        if carried is not None:
+            self.state = State.HANDED
+        return carried
+
+    def let_go(self) -> None:
+        """Hear that another process has it."""
+        if self.state is State.HANDED:
+            self.state, self.current = State.OVER, None
+            self.agent.let_go()
+            self.desk.post(api.ClientGone(self.handle))  # its server has not sent it away
+            self._outcome(self.passes - 1, api.Result.CANCELLED, ())
+
+    def keep(self) -> None:
+        """Hear that the other process is gone without it."""
+        if self.state is State.HANDED:
+            self.state = State.STANDING
+            self.agent.keep()
+
     # News of the pass
 
     def written(self) -> None:
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -11,7 +11,7 @@
 from scaledeal.net.lines import LineLink
 from scaledeal.net.lobby import Lobby
 from scaledeal.net.proxy_pass import SECOND, ProxyPass, Trade
-from scaledeal.net.sides import Agent, Ask, PassEvents
+from scaledeal.net.sides import Agent, Ask, Carried, PassEvents
 from scaledeal.net.transaction import Transaction
 
 FIRST_LINE = 2.5  # seconds that a client may stay without a whole first line, or between two PINGs
@@ -41,6 +41,23 @@
     ids: set[str] = msgspec.field(default_factory=set)  # of the requests and connections that are open here
 
 
+def asked(read: wording.OpenLine, number: int, now: int) -> Ask:
+    """Return what a first line asks for at this moment."""
+    wait = int(read.get("d"))
+    if read.get("at"):
+        wait = min(wait, STOOD)  # guards against one that waits for hours for a server that no list names
+    return Ask(
+        request_class=number,
+        deadline=now + wait * wording.MS,
+        key=read.key,
+        group=read.get("g"),
+        tenant=int(read.get("t") or 0),
+        returning=read.get("again") == "1",
+        load_hint=wording.number(read.get("h")) / 1000,  # nanoseconds a second, as in the simulator
+        standing_at=read.get("at"),
+    )
+
+
 class UserAgent(LineLink):
     """A client's connection."""
 
@@ -121,23 +138,14 @@
             # Guards against a client under another's id: servers turn it away, and that speaks against them.
             self._reject("id in use")
             return
+        self._has_asked(Stage.ASKED, read)
+        self.transaction = reception.take(asked(read, number, reception.trade.now()), self)
+
+    def _has_asked(self, stage: Stage, read: wording.OpenLine) -> None:
         self._stop_timer()
-        self.stage, self.open_line, self.asked = Stage.ASKED, read, True
-        reception.ids.add(read.id)
-        reception.lobby.has_asked(self)
-        now, wait = reception.trade.now(), int(read.get("d"))
-        if read.get("at"):
-            wait = min(wait, STOOD)  # guards against one that waits for hours for a server that no list names
-        self.transaction = reception.take(Ask(
-            request_class=number,
-            deadline=now + wait * wording.MS,
-            key=read.key,
-            group=read.get("g"),
-            tenant=int(read.get("t") or 0),
-            returning=read.get("again") == "1",
-            load_hint=wording.number(read.get("h")) / 1000,  # nanoseconds a second, as in the simulator
-            standing_at=read.get("at"),
-        ), self)
+        self.stage, self.open_line, self.asked = stage, read, True
+        self.reception.ids.add(read.id)
+        self.reception.lobby.has_asked(self)
 
     def _ping(self) -> None:
         now = self.reception.trade.now()
@@ -206,6 +214,37 @@
         else:
             self.end()
 
+    # Another process
+
+    def resumed(self, read: wording.OpenLine, transaction: Transaction, current: ProxyPass) -> None:
+        """Stand from the beginning: another process has brought it up."""
+        self._has_asked(Stage.STANDING, read)
+        self.transaction, self.current = transaction, current
+
+    def hand_over(self) -> Carried | None:
+        """Stop reading a connection that stands, and return it; None while anything of it is under way."""
+        current, read = self.current, self.open_line
+        if read is None or current is None or not (self.quiet() and current.link.quiet()):
+            return None
+        (mine, of_client), (other, of_server) = self.hold(), current.link.hold()
+        line = read.with_wait(int(read.get("d")) * wording.MS)
+        state = wording.Paused(line, current.asked_at, of_client, of_server)
+        return Carried((mine, other), msgspec.json.encode(state))
+
+    def let_go(self) -> None:
+        """Give up what was handed over: another process has it."""
+        self._over()
+        if self.current is not None:
+            self.current.let_go()
+        super().let_go()
+        self.reception.lobby.has_ended()
+
+    def keep(self) -> None:
+        """Read on: no other process has it."""
+        self.go_on()
+        if self.current is not None:
+            self.current.link.go_on()
+
     def _answer(self, line: bytes) -> None:
         self._over()
         self.send(line)
--- a/scaledeal/net/wording.py
+++ b/scaledeal/net/wording.py
@@ -42,6 +42,15 @@
         return self.head + values.encode()
 
 
+class Paused(msgspec.Struct, frozen=True, array_like=True):
+    """A connection that stands, as another process of the relay goes on with it."""
+
+    line: bytes  # the client's first
+    asked_at: int  # since when a message waits for its answer, or 0; all processes read the same clock
+    of_client: bytes  # what has come of a line that is not whole, from either side
+    of_server: bytes
+
+
 def read_open(line: bytes) -> OpenLine | None:
     """Read a client's first line; None if it is none, or if a figure in it is no such figure.
 
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -699,7 +699,7 @@
         if server is None:
             server = self._meet(event.server)
             server.state = api.ServerState.GONE
-        self.adopted |= not event.elsewhere
+        self.adopted |= not event.inherited
         flight = self._flight(event, 0)
         flight.attempts.append(Attempt(server, self.now))
         flight.opened = True
