Count a server's own capacity where it is less than the mean one

Logged twice a second, the server that tips reads 0.76 of its capacity by estimate and 1.57 in its next report: 32 connections came between two reports. Cause: _utilisation divides what was added since a report by one unit for all servers, learned as a mean, while what the reports imply for each differs by 0.7 to 1.9 of it (the fleet mixes two speeds; weights tell cores).

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -133,6 +133,7 @@
     past: list[float] = field(default_factory=list)  # own load at the last ticks, the oldest first
     delay: float = 0.0  # ms that a message takes, while that is long
     delay_at: int = 0
+    unit: float = 0.0  # learned capacity over its weight, in this gateway's units of load; 0 while unknown
     limit: float = 0.0  # without reports: own load at which its messages last turned slow, 0 while unknown
     troubled_since: int = 0
     strikes: int = 0
@@ -266,7 +267,7 @@
         self.window = self.least_window = 0.0
         self.pending = 0  # set-ups under way
         self.step_at = self.watch_at = self.watch_failures = 0
-        self.unit = 0.0  # learned capacity of a server of weight 1, in this gateway's units of load
+        self.unit = 0.0  # learned capacity of a server of weight 1, in units of load: the mean of all
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event and return the actions it calls for."""
@@ -318,8 +319,7 @@
             server.probe_at = self.now + int(spread * self.random.random())
         if entry.started > server.started:  # a new process: what was known of the old one is void
             server.strikes = server.suspect_until = server.troubled_since = server.drains_until = 0
-            server.reported = -1.0
-            server.delay = 0.0
+            server.reported, server.delay = -1.0, 0.0
         if entry.state is api.ServerState.DRAINING and server.open:
             self.draining.setdefault(server, self.now)
         server.state, server.started = entry.state, entry.started
@@ -344,7 +344,9 @@
         if server.reported < 0 or self.now - server.reported_at > 2 * NEWS_LASTS:
             return None
         added = self._own_load(server) - server.load_then
-        return max(0.0, server.reported + (added / (self.unit * server.weight) if self.unit else 0.0))
+        # Guards against a server slower than most that is filled past its capacity between two reports.
+        unit = min(server.unit or self.unit, self.unit) * server.weight
+        return max(0.0, server.reported + (added / unit if unit else 0.0))
 
     def _attach(self, server: Server, flight: Flight) -> None:
         server.open[flight.id] = flight
@@ -384,10 +386,10 @@
         if value > 0.05 and inflight and any(self.load_count) and not self._cold(server):
             unit = inflight * self._mean_charge() / value / server.weight
             self.unit += (unit - self.unit) * (0.05 if self.unit else 1.0)
+            server.unit += (unit - server.unit) * (0.1 if server.unit else 1.0)
 
     def _note(self, event: api.Note) -> None:
-        flight = self.flights.get(event.request)
-        server = self.servers.get(event.server)
+        flight, server = self.flights.get(event.request), self.servers.get(event.server)
         if flight is None or server is None or event.request not in server.open:
             return
         if event.kind is api.NoteKind.SILENT:
@@ -419,8 +421,7 @@
     def _strike(self, server: Server) -> None:
         """Put a failing server out of the ready set for a while."""
         # Guards against blaming servers one by one for trouble that is everywhere, such as a slow store.
-        live = self.live
-        if 3 * sum(1 for s in live if s.strikes and s is not server) >= len(live):
+        if 3 * sum(1 for s in self.live if s.strikes and s is not server) >= len(self.live):
             return
         if server.strikes == 0:
             self.out.append(api.Log(f"server {server.id} suspected"))
@@ -618,8 +619,7 @@
         attempt = flight.attempts[event.attempt]
         if attempt.result is not None:
             return
-        attempt.result = event.result
-        server = attempt.server
+        attempt.result, server = event.result, attempt.server
         self._report(server, event.report)
         self._detach(server, flight)
         if not flight.opened:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -71,6 +71,24 @@
     assert driver.balancer.unit, "the capacity is learned from the first report on"
 
 
+def test_a_slow_server_is_not_filled_as_if_it_were_like_the_others():
+    driver = Driver(replace(REPORTS, groups=False), servers=4)
+    [first] = fill(driver, 1)
+    server = driver.server_of(first)
+    driver.event(api.Note(first, 0, server, api.NoteKind.LOAD, 1000.0))
+    for _ in range(60):
+        report(driver, s0=0.6, s1=0.2, s2=0.2, s3=0.2)  # each holds ten: s0 can do a third of what others can
+    balancer = driver.balancer
+    before = {name: balancer._utilisation(balancer.servers[name]) for name in ("s0", "s1")}
+    for name in before:
+        for number in range(5):
+            driver.event(api.OpenConnection(f"{name}-{number}", 0, name, load_hint=1000.0))
+    grew = {name: balancer._utilisation(balancer.servers[name]) - was for name, was in before.items()}
+    assert grew["s0"] > 2 * grew["s1"] > 0
+    # Guards against a server that looks fast, for few connections, being trusted with more than most can do.
+    assert grew["s1"] >= 5 * 1000.0 / balancer.unit * 0.99
+
+
 def test_out_of_rotation_are_those_that_no_new_connection_goes_to():
     driver = Driver(REPORTS, servers=4)
     assert driver.balancer.rotation() == (4, 0)
