Widen the cold budget, and let clients that come back pay for the probes that place them

And in a break all clients return: nobody new pays for probes, so they were placed blindly (probes stopped, sends went on).

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -30,6 +30,7 @@
 ESTIMATE_WINDOW = 20 * SECOND  # window of the admission estimate that rungs are fractions of
 
 # Placement
+TURNS = 3.0  # turns at a cold server for each one used: a gateway's client has two servers to go to
 STAY_UNDER = 0.7  # utilisation up to which a group keeps to its first server, or is moved to another
 FULL = 0.9  # utilisation up to which servers share what comes by the room they have
 STAY_RATIO = 1.5  # without reports: the multiple of the mean load up to which it does
@@ -452,7 +453,7 @@
         s = self.settings
         grown = s.cold_share * age + (1 - s.cold_share) * age * age / s.warm_after / 2
         holds = self.unit * server.weight / self._mean_charge()
-        return s.overload_factor * holds * grown / s.warm_after / s.siblings
+        return TURNS * s.overload_factor * holds * grown / s.warm_after / s.siblings
 
     # Placement
 
@@ -530,10 +531,10 @@
             return
         flight = self._flight(event, event.deadline)
         flight.returning = event.returning
-        if self.settings.may_probe and not event.returning:
-            # Guards against many gateways probing many servers for few clients: requests pay for probes.
-            worth = PROBE_COST / self.settings.probe_price if self.settings.probe_price else PROBE_BURST
-            self.probes = min(PROBE_BURST, self.probes + worth)
+        # Guards against many gateways probing for few clients: requests pay, returning ones for placing.
+        most = (PROBE_KEPT if event.returning else PROBE_BURST) * self.settings.may_probe
+        worth = PROBE_COST / self.settings.probe_price if self.settings.probe_price else PROBE_BURST
+        self.probes = max(self.probes, min(most, self.probes + worth))
         if event.mid_flow:
             if ready := [s for s in self.live if s.suspect_until <= self.now] or self.live:
                 self._send(flight, rendezvous(flight.place_key, ready)[0])
@@ -582,13 +583,12 @@
             self.held[flight.id] = flight
 
     def _asks(self, flight: Flight, pair: list[Server]) -> bool:
-        """Have a connection wait for reports of where it may go: a gateway hears seldom of most servers."""
+        # Guards against placing by old reports: a gateway hears seldom of most servers.
         stale = [s for s in pair if s.reported < 0 or self.now - s.reported_at > FRESH]
         if not self.settings.may_probe or self.now - (flight.asked_at or self.now) >= PATIENCE:
             return False
         self._probe([s for s in stale if self.now - s.asked_at > FRESH])
-        waits = any(s.probe_out for s in stale)
-        if waits and not flight.asked_at:
+        if (waits := any(s.probe_out for s in stale)) and not flight.asked_at:
             flight.asked_at = self.now
             self.out.append(api.SetTimer(PATIENCE, 1))
         return waits
