Let returning clients in by share where a relay's few set-ups tell no rate

Cause: Ladder.admit's buckets. A relay of forty accepts a tenth of a new connection a second, so its bucket holds one token and refills in tens of seconds, at the lowest rung too.

Now a relay that has accepted some, but fewer set-ups than FEW in the estimate's window, lets returning clients in by their bucket's share, as one that has just started does.

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -26,6 +26,7 @@
 SLOW_SCALE = 3.0  # without reports: a third of the load on slow servers reads as full load
 RUNGS = 11  # rung 0 polices nothing, the last refuses everything, each one between takes a tenth off
 WORTH_RATIO = 3  # a worth step gets up to this multiple of the rate of the step below
+FEW = 8.0  # set-ups in that window that are too few to tell a rate
 LEAST_RATE = 1e-6  # set-ups a second of a bucket of which none were seen, so that its share is still told
 ESTIMATE_WINDOW = 20 * SECOND  # window of the admission estimate that rungs are fractions of
 
@@ -424,7 +425,6 @@
         server.strikes += 1
 
     def _saturated(self, server: Server) -> bool:
-        """Tell whether messages at this server take longer than the shortest aim, or it is asked too much."""
         slow = server.delay * MS > self.shortest_aim and self.now - server.delay_at < NEWS_LASTS
         return slow or (self._utilisation(server) or 0.0) > 1.0
 
@@ -539,8 +539,7 @@
             if ready := [s for s in self.live if s.suspect_until <= self.now] or self.live:
                 self._send(flight, rendezvous(flight.place_key, ready)[0])
                 return
-        elif event.returning and self._new_here() and self.ladder.rung < RUNGS - 1:
-            # Guards against a restart that turns away whoever stood here: the estimate knows only new demand.
+        elif event.returning and self._by_share() and self.ladder.rung < RUNGS - 1:
             if self.random.random() >= self.ladder.shares[flight.cell]:
                 self._refuse(flight)
                 return
@@ -549,15 +548,16 @@
             return
         self._place(flight)
 
-    def _new_here(self) -> bool:
-        return not self.adopted and self.now - self.started < ESTIMATE_WINDOW
+    def _by_share(self) -> bool:
+        # Guards against a restart, or a rate of a few set-ups, that turns away whoever stood before.
+        few = 0 < sum(self.ladder.estimate.values()) * ESTIMATE_WINDOW < FEW * SECOND
+        return few or (not self.adopted and self.now - self.started < ESTIMATE_WINDOW)
 
     def _over_share(self, tenant: int) -> bool:
         quota = self.settings.tenants[tenant].open_connections if self.settings.tenants else 0.0
         return 0 < quota < self.tenant_open[tenant] * self.settings.siblings
 
     def _allowed(self, flight: Flight, server: Server) -> bool:
-        """Tell whether a further attempt at this server can cause no effect twice."""
         cls = self.settings.classes[flight.cls]
         if cls.semantics is api.Semantics.REPEATABLE:
             return True
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -106,6 +106,24 @@
     assert len(driver.actions(api.Probe)) <= 12 * 2 + 10, "more than their placing takes"
 
 
+def test_a_gateway_of_few_set_ups_takes_most_who_come_back_at_a_low_rung():
+    # Guards against forty buckets of a twentieth of a set-up a second that refuse all after a break.
+    taken = 0
+    for driver in fleet(servers=4):
+        driver.arrive("new", key="n")
+        driver.establish("new")
+        driver.wait(6 * SECOND)
+        assert sum(driver.balancer.ladder.estimate.values()) > 0
+        driver.balancer.ladder.rung = 1
+        driver.balancer.ladder._install(driver.now, [1.0, 1.0])
+        for turn in range(3):
+            driver.arrive(f"r{turn}", key=f"k{turn}", returning=True)
+            taken += f"r{turn}" in driver.out()
+            if f"r{turn}" in driver.out():
+                driver.establish(f"r{turn}")
+    assert taken >= 0.7 * 3 * MANY, f"{taken} of {3 * MANY} taken at a rung that takes a tenth off"
+
+
 def test_a_slow_store_is_not_flooded_with_repeats():
     # A set-up that a shared store lets wait for nearly a second: each repeat would be one more call to it.
     drivers = fleet(servers=8)
