Bound how many connections wait for reports, and what each probe's answer looks at

Lines at fault: _asks set a timer for each that waits, and _probed and each such timer placed all that were held.

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -56,7 +56,7 @@
 PROBE_COST = 0.005  # points that probes may cost, at the price in the settings
 PROBE_BURST, PROBE_KEPT = 10.0, 6.0  # probes saved up at most, and those of them that are kept for placing
 FRESH = SECOND  # a report no older than this is good for placing
-PATIENCE = 80 * MS  # time that a new connection waits for reports of where it may go
+PATIENCE, WAITING = 80 * MS, 16  # time that connections wait for reports of where they may go, and how many
 DRAIN_WAIT = SECOND  # time that a draining server gets to send its clients away itself
 MOVE_SHARE = 0.1  # share of a troubled server's connections that may be moved in a tick
 CALM_SHARE = 0.2  # the same while few servers are in trouble and nothing is refused
@@ -429,7 +429,6 @@
         return slow or (self._utilisation(server) or 0.0) > 1.0
 
     def _suspect(self, server: Server) -> bool:
-        # Half-open: after its time out a suspect gets one trial at a time.
         out = max(server.suspect_until, server.drains_until) > self.now
         return out or (server.strikes > 0 and server.pending > 0)
 
@@ -585,7 +584,8 @@
     def _asks(self, flight: Flight, pair: list[Server]) -> bool:
         # Guards against placing by old reports: a gateway hears seldom of most servers.
         stale = [s for s in pair if s.reported < 0 or self.now - s.reported_at > FRESH]
-        if not self.settings.may_probe or self.now - (flight.asked_at or self.now) >= PATIENCE:
+        waited = self.now - (flight.asked_at or self.now) >= PATIENCE
+        if not self.settings.may_probe or waited or len(self.held) > WAITING:
             return False
         self._probe([s for s in stale if self.now - s.asked_at > FRESH])
         if (waits := any(s.probe_out for s in stale)) and not flight.asked_at:
@@ -727,10 +727,10 @@
         self._report(server, event.report)
         if event.result in (api.Result.TIMEOUT, api.Result.CONNECT_FAILED):
             self._strike(server)
-        self._retry_held(len(self.held))
+        self._retry_held(WAITING)
 
     def _tick(self, event: api.Timer) -> None:
-        self._retry_held(len(self.held))
+        self._retry_held(WAITING if event.token else len(self.held))
         if event.token:
             return
         self.out.append(api.SetTimer(TICK, 0))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 from driver import BASE, MS, SECOND, Driver, Job, Try, entries
 
 from scaledeal import interface as api
-from scaledeal.policy import TURNS
+from scaledeal.policy import TURNS, WAITING
 
 MANY = 40
 HOLDS = 40.0  # connections that fill a warm server
@@ -94,6 +94,18 @@
     assert driver.server_of("r") != hung
 
 
+def test_a_crowd_does_not_wait_for_reports_with_a_timer_each():
+    # Guards against work that grows with the square of a crowd: every timer looked at all who waited.
+    driver = fleet(servers=4)[0]
+    driver.wait(4 * SECOND)
+    driver.probes_answered = False
+    before = len(driver.timers)
+    for number in range(500):
+        driver.arrive(f"r{number}", key=f"k{number}")
+    timers = len(driver.timers) - before
+    assert 1 <= timers <= WAITING + 1, f"{timers} timers for 500 who wait"
+
+
 def test_clients_that_come_back_pay_for_the_probes_that_place_them():
     # Guards against a break that sends everybody round: nobody new pays for a probe, and all are placed blindly.
     driver = fleet(servers=4)[0]
