Count idle servers in the load index again, and take a site without an overload window

Found by reading the change once more. _move dropped a server that reported a load of 0.0 and holds nothing from `known`, as if nobody had heard of it, since its two lines had been drawn together: so the ladder's index left out idle newcomers, the very ones with room, and read too high. And _cold_room divided by an overload window of 0, which the settings allow. Each has a test that fails without its mend.

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -438,8 +438,7 @@
         return bool(server.started) and self.now - server.started < self.settings.warm_after
 
     def _cold_room(self, server: Server) -> bool:
-        """Tell whether a cold server may be sent one more: what all gateways may send goes by turns."""
-        window = self.settings.overload_window
+        window = self.settings.overload_window or SECOND
         turn = (self.now - server.started) // window
         server.turn = server.turn if server.turn[0] == turn else (turn, 0.0)
         due = [math.floor(server.phase + self._cold_share(server, t * window)) for t in (turn, turn + 1)]
@@ -788,7 +787,8 @@
         for server in list(self.known.values()):
             if not self._saturated(server) or server.state is not api.ServerState.LIVE:
                 server.troubled_since, server.leaving = 0, frozenset()
-                if server.state is not api.ServerState.LIVE or not (server.open or self._utilisation(server)):
+                silent = not server.open and self._utilisation(server) is None
+                if silent or server.state is not api.ServerState.LIVE:
                     self.known.pop(server.id).past = []
                 continue
             server.troubled_since = server.troubled_since or self.now
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -154,3 +154,21 @@
         driver.arrive("r", key=f"k{driver.settings.me}", group="g")
         taken[driver.server_of("r")] = taken.get(driver.server_of("r"), 0) + 1
     assert min(taken.get(s.server, 0) for s in entries(2)) >= MANY // 6, taken
+
+
+def test_an_idle_server_counts_in_the_load_index():
+    # Guards against refusing because of the loaded servers while newcomers that report nothing asked stand by.
+    driver = fleet(servers=4)[0]
+    driver.balancer.servers["s0"].reported = 0.5
+    for server in ("s1", "s2", "s3"):
+        answer(driver, server, 0.0)
+    driver.wait(SECOND)
+    assert {"s1", "s2", "s3"} <= driver.balancer.known.keys()
+
+
+def test_a_site_without_a_window_of_overload_takes_newcomers_without_a_fault():
+    driver = fleet(replace(SITE, overload_window=0), count=3, servers=2)[0]
+    driver.members(api.MembershipKind.CHANGES, (api.ServerEntry("new", started=driver.now),))
+    driver.wait(2 * SECOND)
+    driver.arrive("r")
+    assert driver.out() == ["r"]
