Account for what a whole fleet lost, from traces that relays write of their decisions

PROXY_TRACE has a relay write each event and decision with its figures; scaledeal lab account books every second that a client was without service to one cause over all relays, with storm, prices and seconds, and follows one id everywhere. Refusals, failures and moves carry the name of their rule. Not in it: worth that a message model loses near capacity.

Files in HCL are read by a package of their own, and what breaks a rule is told together with what is no value; numbers with a sign are read and told with their block.

--- a/scaledeal/cli/main.py
+++ b/scaledeal/cli/main.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from scaledeal.cli import keys, sessions
+from scaledeal.cli import keys, lab, sessions
 
 EXIT_CODES = """Exit codes: 0 all went well; 2 something that was given can't be used, and the text says what and
 where; 1 the program failed."""
@@ -17,6 +17,7 @@
                   help=f"A relay for long-lived connections.\n\n{EXIT_CODES}")
 app.add_typer(keys.app, name="keys")
 app.add_typer(sessions.app, name="sessions")
+app.add_typer(lab.app, name="lab")
 
 DEFAULT_FILE = Path("deploy/scaledeal.hcl")
 OperatorFile = Annotated[Path, typer.Argument(metavar="FILE", help="The operators' file.")]
--- a/scaledeal/interface.py
+++ b/scaledeal/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -303,17 +303,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Final answer: refused, trying again does no harm."""
+    """Final answer: refused, trying again does no harm; ``why`` names the rule, for a trace alone."""
 
     request: str
     retry_after: int = 0
+    why: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Final answer: failed, nothing is promised."""
+    """Final answer: failed, nothing is promised; ``why`` names the rule, for a trace alone."""
 
     request: str
+    why: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -326,9 +328,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """End an open connection politely; its client comes again."""
+    """End an open connection politely; its client comes again. ``why`` names the rule, for a trace alone."""
 
     request: str
+    why: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/scaledeal/net/config.py
+++ b/scaledeal/net/config.py
@@ -47,6 +47,7 @@
     listen: Address
     discovery: Address
     admin: Address | None  # where operators call; none where that is not stated
+    trace: str  # the file that what is decided is written to, - for standard error; empty where it is not
     folder: Path | None  # the one that the processes of this relay share; none where that is not stated
     seed: int
     sockets: int  # descriptors that this process may hold; 0 where that is not stated
@@ -95,6 +96,7 @@
         listen=address(environment.get("PROXY_LISTEN") or file.listen, "PROXY_LISTEN"),
         discovery=address(environment.get("PROXY_DISCOVERY") or file.discovery, "PROXY_DISCOVERY"),
         admin=address(admin, "PROXY_ADMIN") if admin else None,
+        trace=environment.get("PROXY_TRACE", ""),
         folder=Path(environment["TMPDIR"]) if environment.get("TMPDIR") else None,
         seed=_seed(file.seed),
         sockets=file.limits.sockets,
--- a/scaledeal/net/delays.py
+++ b/scaledeal/net/delays.py
@@ -18,6 +18,7 @@
     """Decides which measured times are news."""
 
     def __init__(self, aims: tuple[float, ...], now: Callable[[], int]) -> None:
+        self.aims = aims  # ns within which a message is wanted, by class; 0 where none is stated
         self.least = min((aim for aim in aims if aim > 0), default=0.0) / SHARE
         self.now = now
         self.slow: dict[str, int] = {}  # servers last told of as slow, and when
--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -11,12 +11,15 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from scaledeal import interface as api
 from scaledeal.net.delays import Delays
 from scaledeal.net.figures import Figures
 from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.sides import Agent, Ask, Prober
+from scaledeal.net.trace import Trace
 from scaledeal.net.transaction import State, Transaction
 from scaledeal.policy import Balancer
 
@@ -41,6 +44,7 @@
         self.draining = False  # whatever comes up is moved at once
         self.prober: Prober | None = None
         self.watch: Callable[[], None] = lambda: None
+        self.trace: Trace | None = None
         self._numbered = 0
         self._events: deque[api.Event] = deque()
         self._busy = False
@@ -86,6 +90,8 @@
             if isinstance(event, api.Timer):
                 self.later(250_000_000, lambda: self.post(event))
             return
+        if self.trace is not None:
+            self.trace.handled(self.now(), event, actions, self.balancer)
         for action in actions:
             try:
                 self._carry_out[type(action)](action)
@@ -99,6 +105,8 @@
         self._numbered += 1
         transaction = Transaction(self, f"t{self._numbered}", ask, agent)
         self.transactions[transaction.handle] = transaction
+        if self.trace is not None:
+            self.trace.takes(self.now(), transaction.handle, ask)
         if ask.standing_at:
             self._resume(transaction)
         else:
@@ -111,6 +119,8 @@
         self._numbered += 1
         transaction = Transaction(self, f"t{self._numbered}", ask, agent)
         self.transactions[transaction.handle] = transaction
+        if self.trace is not None:
+            self.trace.takes(self.now(), transaction.handle, msgspec.structs.replace(ask, standing_at=server))
         transaction.resumed(server)
         self.post(api.OpenConnection(transaction.handle, ask.request_class, server, ask.key, ask.group,
                                      ask.tenant, inherited=True))
@@ -140,6 +150,11 @@
         log.warning("request of class %d answered at its deadline: the module held it",
                     transaction.ask.request_class)
 
+    def late(self, transaction: Transaction, took: int, waits: bool) -> None:
+        """Note a message that its application server answers later than its class wants."""
+        if self.trace is not None:
+            self.trace.late(self.now(), transaction.handle, transaction.server, took, waits)
+
     def silent(self, transaction: Transaction) -> None:
         """Note that an application server has returned nothing for too long."""
         log.warning("server %s returns nothing on an open connection: broken off", transaction.server)
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -30,6 +30,7 @@
 from scaledeal.net.service import Service, Stage
 from scaledeal.net.sides import Side
 from scaledeal.net.succession import Succession
+from scaledeal.net.trace import open_trace
 from scaledeal.net.user_agent import Reception
 from scaledeal.net.wording import report_reader
 
@@ -53,6 +54,7 @@
         document = config.document
         self.figures = Figures(tuple(entry.name for entry in document.classes))
         self.driver = Driver(reactor, config.settings, config.seed, self.figures)
+        self._trace()
         pool = BufferPool()
         trade = Trade(reactor, pool, self.driver.now, report_reader(document.report.fields),
                       int(document.caps.dial_timeout))
@@ -82,6 +84,18 @@
 
     # The start
 
+    def _trace(self) -> None:
+        """Have what is decided written down, where that is asked for."""
+        if not self.config.trace:
+            return
+        try:
+            now = self.driver.now()
+            self.driver.trace = open_trace(self.config.trace, self.config.name, time.time_ns() - now)
+        except OSError as error:
+            raise told.ConfigError(f"PROXY_TRACE: {self.config.trace}: {error.strerror}") from None
+        self.driver.trace.begins(now, tuple(entry.name for entry in self.config.document.classes),
+                                 self.config.settings)
+
     def start(self) -> None:
         """Take over from the process that serves, or listen; ``failure`` tells why it could not."""
         admin = self.config.admin
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -21,6 +21,7 @@
     returning: bool = False
     load_hint: float = 0.0  # microseconds of work a second
     standing_at: str = ""  # the application server at which the connection stood before the start
+    name: str = ""  # the client's id of it, for a trace alone
 
 
 class Carried(msgspec.Struct, frozen=True):
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -55,6 +55,9 @@
     def overdue(self, transaction: Transaction) -> None:
         """Hear that the decision module left it unanswered."""
 
+    def late(self, transaction: Transaction, took: int, waits: bool) -> None:
+        """Hear that a message took so many nanoseconds, longer than its class wants, or waits that long already."""
+
     def silent(self, transaction: Transaction) -> None:
         """Hear that its application server has returned nothing for too long."""
 
@@ -73,6 +76,8 @@
         self.server = ""
         self.began = 0
         self.counts = desk.figures.counts[ask.request_class]
+        self.aim = desk.delays.aims[ask.request_class]
+        self.told_late = 0  # since when the message waits that was noted as late
         self.told_silent = 0  # since when the message waits whose silence the module was told of
         self.timer: Timer | None = desk.later(max(0, ask.deadline - desk.now()) + SLACK, self._answer_owed)
 
@@ -178,6 +183,8 @@
     def message_took(self, took: int) -> None:
         """Pass on how long a message took, where that is news."""
         self.desk.delays.answer(self.server, took)
+        if took > self.aim > 0:
+            self.desk.late(self, took, False)
         self._delay(took)
 
     def _delay(self, took: int) -> None:
@@ -189,6 +196,9 @@
         since = self.current.silent_since() if self.current is not None else 0
         if not since or self.current is None:
             return
+        if now - since > self.aim > 0 and self.told_late != since:
+            self.told_late = since
+            self.desk.late(self, now - since, True)
         if now - since >= SILENT:
             self.desk.silent(self)
             self.current.break_off()
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -56,6 +56,7 @@
         returning=read.get("again") == "1",
         load_hint=wording.number(read.get("h")) / 1000,  # nanoseconds a second, as in the simulator
         standing_at=read.get("at"),
+        name=read.id,
     )
 
 
--- a/scaledeal/operator/types.py
+++ b/scaledeal/operator/types.py
@@ -2,29 +2,11 @@
 
 from __future__ import annotations
 
-import re
 from typing import Annotated, Literal
 
 import msgspec
 
-_UNITS = {"ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
-_DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,6})?)(ms|s|m|h)")
-
-
-class Duration(int):
-    """A time in nanoseconds, written as ``"250ms"``, ``"1.5s"``, ``"2m"`` or ``"1h"``."""
-
-    @classmethod
-    def read(cls, text: object) -> Duration:
-        """Read a duration; raise ValueError with the forms that are taken."""
-        found = _DURATION.fullmatch(text) if isinstance(text, str) else None
-        if found is None:
-            raise ValueError(f'a duration was expected, as "250ms", "1.5s", "2m" or "1h", not {text!r}')
-        return cls(round(float(found[1]) * _UNITS[found[2]]))
-
-    def __str__(self) -> str:
-        return f"{self / 1e6:g} ms"
-
+from scaledeal.hcl import Duration
 
 MS = 1_000_000
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -337,7 +337,7 @@
     def _own_load(self, server: Server) -> float:
         return server.told_load + sum(n * self._charge(c) for c, n in enumerate(server.untold) if n)
 
-    def _utilisation(self, server: Server) -> float | None:
+    def utilisation(self, server: Server) -> float | None:
         """Return the load asked of a server over what it can do, as far as reports tell."""
         if server.reported < 0 or self.now - server.reported_at > 2 * NEWS_LASTS:
             return None
@@ -381,7 +381,7 @@
         server.load_then = server.past[0] if server.past else self._own_load(server)
         inflight = told.get(api.Field.INFLIGHT, 0.0)
         # Guards against a capacity in a unit of its own: without a known load each connection counts as 1.
-        if value > 0.05 and inflight and any(self.load_count) and not self._cold(server):
+        if value > 0.05 and inflight and any(self.load_count) and not self.cold(server):
             unit = inflight * self._mean_charge() / value / server.weight
             self.unit += (unit - self.unit) * (0.05 if self.unit else 1.0)
             server.unit += (unit - server.unit) * (0.1 if server.unit else 1.0)
@@ -394,7 +394,7 @@
             # Guards against a client left at a connection that fell silent while its server answers others.
             if flight.opened and not flight.answered:
                 flight.answered = True
-                self.out.append(api.Move(flight.id))
+                self.out.append(api.Move(flight.id, "silent"))
             return
         if event.kind is api.NoteKind.DELAY:
             server.limit = self._own_load(server) if event.amount >= server.delay else server.limit
@@ -426,7 +426,7 @@
 
     def _saturated(self, server: Server) -> bool:
         slow = server.delay * MS > self.shortest_aim and self.now - server.delay_at < NEWS_LASTS
-        return slow or (self._utilisation(server) or 0.0) > 1.0
+        return slow or (self.utilisation(server) or 0.0) > 1.0
 
     def _suspect(self, server: Server) -> bool:
         out = max(server.suspect_until, server.drains_until) > self.now
@@ -434,7 +434,8 @@
 
     # Cold-start budget
 
-    def _cold(self, server: Server) -> bool:
+    def cold(self, server: Server) -> bool:
+        """Tell whether a server may still be cold."""
         return bool(server.started) and self.now - server.started < self.settings.warm_after
 
     def _cold_room(self, server: Server) -> bool:
@@ -448,9 +449,8 @@
     def _cold_share(self, server: Server, age: int) -> float:
         # Guards against a newcomer pushed over by all, or left idle by each of many: it takes no more than
         # fills it over its warm-up, times what the rule allows, and each gateway has its part of that.
-        s = self.settings
+        s, holds = self.settings, self.unit * server.weight / self._mean_charge()
         grown = s.cold_share * age + (1 - s.cold_share) * age * age / s.warm_after / 2
-        holds = self.unit * server.weight / self._mean_charge()
         return TURNS * s.overload_factor * holds * grown / s.warm_after / s.siblings
 
     # Placement
@@ -461,7 +461,7 @@
         return self._in_rotation(live)
 
     def _in_rotation(self, live: list[Server]) -> list[Server]:
-        live = [s for s in live if not s.started or not self._cold(s) or self._cold_room(s)]
+        live = [s for s in live if not s.started or not self.cold(s) or self._cold_room(s)]
         # Guards against each gateway learning by a set-up which server answers nothing.
         live = [s for s in live if not s.probe_out or self.now - s.asked_at < PATIENCE] or live
         return [s for s in live if not self._suspect(s)] or live
@@ -493,7 +493,7 @@
     def _choose(self, flight: Flight, pair: list[Server]) -> Server:
         """Take one of two: the one asked less, or either while both have room."""
         first, second = pair[0], pair[-1]
-        a, b = self._utilisation(first), self._utilisation(second)
+        a, b = self.utilisation(first), self.utilisation(second)
         if a is None or b is None or not self.unit:
             a, b = (self._own_load(s) / s.weight for s in (first, second))
         elif max(a, b) < FULL:
@@ -504,7 +504,7 @@
         return first if a <= b or (flight.group and flight.roomy) else second
 
     def _crowded(self, server: Server, key: str, mean: float) -> bool:
-        asked = self._utilisation(server)
+        asked = self.utilisation(server)
         if asked is not None and (asked > STAY_UNDER or self.unit):
             return asked > STAY_UNDER
         load = self._own_load(server)
@@ -539,10 +539,10 @@
                 return
         elif event.returning and self._by_share() and self.ladder.rung < RUNGS - 1:
             if self.random.random() >= self.ladder.shares[flight.cell]:
-                self._refuse(flight)
+                self._refuse(flight, "ladder, by share")
                 return
         elif not self.ladder.admit(self.now, flight.cell):
-            self._refuse(flight)
+            self._refuse(flight, "ladder, by rate")
             return
         self._place(flight)
 
@@ -576,7 +576,7 @@
         if pair and not self._asks(flight, pair):
             self._send(flight, self._choose(flight, pair))
         elif not pair and flight.deadline - self.now <= self.set_up_time + 2 * TICK:
-            self._give_up(flight)  # guards against holding a repeat until after its time
+            self._give_up(flight, "no server in time")  # guards against holding a repeat until after its time
         else:
             self.held[flight.id] = flight
 
@@ -665,23 +665,23 @@
     def _again(self, flight: Flight) -> None:
         spent = len(flight.attempts) >= self.settings.max_attempts or self.retries < 1
         if spent or flight.deadline - self.now <= self.set_up_time or not self._ready(flight):
-            self._give_up(flight)
+            self._give_up(flight, "retries spent" if spent else "no time to retry")
         else:
             self.retries -= 1
             self._place(flight)
 
-    def _give_up(self, flight: Flight) -> None:
+    def _give_up(self, flight: Flight, why: str) -> None:
         cls = self.settings.classes[flight.cls]
         everywhere = cls.semantics is api.Semantics.KEYED and cls.scope is api.Scope.ALL
         harmless = everywhere or cls.semantics is api.Semantics.REPEATABLE
         if harmless or all(a.result in _NEVER_RAN for a in flight.attempts):
-            self._refuse(flight)
+            self._refuse(flight, why)
         else:
-            self.out.append(api.Fail(flight.id))
+            self.out.append(api.Fail(flight.id, why))
             self._drop(flight)
 
-    def _refuse(self, flight: Flight) -> None:
-        self.out.append(api.Refuse(flight.id, min(self.settings.retry_after_max, INTERVAL)))
+    def _refuse(self, flight: Flight, why: str) -> None:
+        self.out.append(api.Refuse(flight.id, min(self.settings.retry_after_max, INTERVAL), why))
         self._drop(flight)
 
     def _drop(self, flight: Flight) -> None:
@@ -762,7 +762,7 @@
     def _sample(self) -> None:
         # Guards against refusing for servers that take nothing new anyway: the index is of the ready ones.
         ready = [s for s in self.known.values() if s.state is api.ServerState.LIVE and not self._suspect(s)]
-        if known := [min(1.0, u) for s in ready if (u := self._utilisation(s)) is not None]:
+        if known := [min(1.0, u) for s in ready if (u := self.utilisation(s)) is not None]:
             self.ladder.sample(100 * sum(known) / len(known))
             return
         # Guards against overload that set-ups do not show: they succeed while open connections earn nothing.
@@ -778,7 +778,7 @@
             elif self.now - told >= DRAIN_WAIT:
                 for flight in [f for f in server.open.values() if f.opened and not f.answered]:
                     flight.answered = True
-                    self.out.append(api.Move(flight.id))
+                    self.out.append(api.Move(flight.id, "draining"))
 
     def _move(self) -> None:
         """Have saturated servers lose groups, the same ones at every gateway, a few connections at a time."""
@@ -787,17 +787,17 @@
         for server in list(self.known.values()):
             if not self._saturated(server) or server.state is not api.ServerState.LIVE:
                 server.troubled_since, server.leaving = 0, frozenset()
-                silent = not server.open and self._utilisation(server) is None
+                silent = not server.open and self.utilisation(server) is None
                 if silent or server.state is not api.ServerState.LIVE:
                     self.known.pop(server.id).past = []
                 continue
             server.troubled_since = server.troubled_since or self.now
-            asked = self._utilisation(server)
+            asked = self.utilisation(server)
             hung = server.delay >= HUNG and self.now - server.delay_at < NEWS_LASTS
             if hung and server.suspect_until <= self.now:
                 self._strike(server)
             opened = [f for f in server.open.values() if f.opened and not f.answered]
-            going: list[Flight] = []
+            why, going = "", list[Flight]()
             if asked is not None or 2 * saturated <= len(self.known):
                 trouble = LOSE_SHARE * (self.now - server.troubled_since) / SECOND
                 if calm:
@@ -807,18 +807,18 @@
                 worst = sorted(server.groups, key=lambda g: (mixed(digest(g), server.number), g))
                 server.leaving = frozenset(worst[: math.ceil(len(worst) * min(1.0, excess))])
                 leaving = (f for f in opened if f.place_key in server.leaving and self._has_room(f, server))
-                going = list(islice(leaving, self._some(len(opened) * (CALM_SHARE if calm else MOVE_SHARE))))
+                why, most = "asked too much", self._some(len(opened) * (CALM_SHARE if calm else MOVE_SHARE))
+                going = list(islice(leaving, most))
             if not going and self.ladder.rung > 0:
                 # Guards against overload that outlives the ladder's refusals: long-lived connections stay on.
-                worths = self.ladder.worths
-                opened.sort(key=lambda f: (worths[f.cell] / (f.load or self._charge(f.cls)), f.id))
-                going = opened[: self._some(len(opened) * SHED_SHARE)]
+                opened.sort(key=lambda f: self.ladder.worths[f.cell] / (f.load or self._charge(f.cls)))
+                why, going = "shed", opened[: self._some(len(opened) * SHED_SHARE)]
             if hung:
                 # Guards against clients left for seconds at a server that answers nothing.
-                going = opened[: math.ceil(len(opened) * HUNG_SHARE)]
+                why, going = "hung", opened[: math.ceil(len(opened) * HUNG_SHARE)]
             for flight in going:
                 flight.answered = True
-                self.out.append(api.Move(flight.id))
+                self.out.append(api.Move(flight.id, why))
 
     def _some(self, count: float) -> int:
         # Guards against many gateways with few connections each all rounding up: half of them went in a tick.
@@ -827,8 +827,8 @@
     def _has_room(self, flight: Flight, leaves: Server) -> bool:
         pair = self._pair(flight, self._ready(flight))
         target = self._choose(flight, pair) if pair else leaves
-        bad = target is leaves or self._saturated(target) or self._cold(target)
-        return not bad and (self._utilisation(target) or 0.0) <= STAY_UNDER
+        bad = target is leaves or self._saturated(target) or self.cold(target)
+        return not bad and (self.utilisation(target) or 0.0) <= STAY_UNDER
 
 
 _NEVER_RAN = (api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.NOT_SENT)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -79,11 +79,11 @@
     for _ in range(60):
         report(driver, s0=0.6, s1=0.2, s2=0.2, s3=0.2)  # each holds ten: s0 can do a third of what others can
     balancer = driver.balancer
-    before = {name: balancer._utilisation(balancer.servers[name]) for name in ("s0", "s1")}
+    before = {name: balancer.utilisation(balancer.servers[name]) for name in ("s0", "s1")}
     for name in before:
         for number in range(5):
             driver.event(api.OpenConnection(f"{name}-{number}", 0, name, load_hint=1000.0))
-    grew = {name: balancer._utilisation(balancer.servers[name]) - was for name, was in before.items()}
+    grew = {name: balancer.utilisation(balancer.servers[name]) - was for name, was in before.items()}
     assert grew["s0"] > 2 * grew["s1"] > 0
     # Guards against a server that looks fast, for few connections, being trusted with more than most can do.
     assert grew["s1"] >= 5 * 1000.0 / balancer.unit * 0.99
@@ -569,10 +569,10 @@
         driver.end(name, api.Result.CANCELLED)
     report(driver, s1=1.0)  # it left the server before they did
     server = driver.balancer.servers["s1"]
-    assert driver.balancer._utilisation(server) == pytest.approx(0.5, abs=0.1)
+    assert driver.balancer.utilisation(server) == pytest.approx(0.5, abs=0.1)
     driver.wait(SECOND)
     report(driver, s1=0.5)
-    assert driver.balancer._utilisation(server) == pytest.approx(0.5, abs=0.05)
+    assert driver.balancer.utilisation(server) == pytest.approx(0.5, abs=0.05)
 
 
 def test_a_capacity_is_learned_in_the_unit_of_loads_only():
@@ -586,7 +586,7 @@
         driver.event(api.Note(name, 0, driver.server_of(name), api.NoteKind.LOAD, 30_000.0))
     report(driver, s0=0.5, s1=0.5, s2=0.5, s3=0.5)
     fill(driver, 8)
-    asked = [driver.balancer._utilisation(s) for s in driver.balancer.servers.values()]
+    asked = [driver.balancer.utilisation(s) for s in driver.balancer.servers.values()]
     assert all(0.5 <= each <= 1.0 for each in asked) and driver.balancer.unit > 100_000
 
 
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -159,3 +159,23 @@
     done = subprocess.run([sys.executable, "-m", "scaledeal.cli.main", "run", "-f", str(tmp_path / "file.hcl")],
                           cwd=ROOT, capture_output=True, text=True, check=False)
     assert done.returncode == 2 and "quic.listen: is missing" in done.stderr and "Traceback" not in done.stderr
+
+
+def test_what_breaks_a_rule_is_told_with_what_is_no_value():
+    # Guards against a file that is mended fault by fault, one start each.
+    text = ('resume {\n  keys = "k"\n  owner = "o"\n  expiry = "1s"\n}\n'
+            'quic {\n  listen = "here"\n  keys = "k"\n  idle = "2h"\n'
+            '  max_flows = "many"\n  rule "a" {\n    class = "x"\n    tenant = -3\n    deadline = "1ms"\n  }\n}\n')
+    with pytest.raises(FileError) as raised:
+        read_text(text)
+    told = [(fault.line, fault.place) for fault in raised.value.faults]
+    assert told == [(4, "resume.expiry"), (7, "quic.listen"), (9, "quic.idle"), (10, "quic.max_flows"),
+                    (13, 'quic.rule["a"].tenant'), (14, 'quic.rule["a"].deadline')], told
+
+
+@pytest.mark.parametrize("value", ["-1", "-1.5", '-"x"', "1 + 2", "-true"])
+def test_a_number_with_a_sign_or_a_sum_is_told_with_its_block(value: str):
+    with pytest.raises(FileError) as raised:
+        read_text(f'quic {{\n  listen = "a:1"\n  keys = "k"\n  max_flows = {value}\n'
+                  '  rule "r" {\n    class = "c"\n  }\n}\n')
+    assert [(fault.line, fault.place) for fault in raised.value.faults] == [(4, "quic.max_flows")]
--- a/tests/test_relay_process.py
+++ b/tests/test_relay_process.py
@@ -132,6 +132,9 @@
         new.watch, new.query = new.next_watch(new.discovery.accept())
         return new
 
+    def close(self) -> None:
+        self.end()
+
     def end(self) -> None:
         self.process.kill()
         self.process.wait()
@@ -390,6 +393,22 @@
     assert server.read() == "M 1"
 
 
+def test_what_is_decided_is_written_down_where_that_is_asked_for(tmp_path: Path) -> None:
+    written = tmp_path / "trace"
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setenv("PROXY_TRACE", str(written))
+        with contextlib.closing(World(tmp_path)) as world:
+            client, server = world.stand(7)
+            server.send("BYE")
+            server.close()
+            assert client.read() == "BYE" and client.ended()
+    told = [json.loads(line) for line in written.read_bytes().splitlines()]
+    met = [(each["what"], each.get("server", "")) for each in told if each.get("request") == "t1"]
+    assert met == [("ask", ""), ("send", "s0"), ("up", "s0"), ("out", "s0")], met
+    assert next(each["id"] for each in told if each["what"] == "ask") == f"{7:016x}"
+    assert told[0]["what"] == "start" and told[0]["names"] == ["browse"]
+
+
 def test_info_tells_what_has_crossed_the_sockets(world: World) -> None:
     def figures() -> dict[str, int]:
         first, *lines, last = world.call("INFO").split("\r\n")
@@ -668,7 +687,7 @@
     ({"PROXY_LISTEN": "here"}, "PROXY_LISTEN"), ({"PROXY_ADMIN": "here"}, "PROXY_ADMIN"),
     ({"PROXY_LISTEN": "192.0.2.1:9"}, "PROXY_LISTEN"), ({"PROXY_ADMIN": "192.0.2.1:9"}, "PROXY_ADMIN"),
     ({"text": json.dumps({"settings": SETTINGS, "admin": "x:y"})}, "PROXY_ADMIN"),
-    ({"PROXY_DISCOVERY": "1.2.3.4:x"}, "PROXY_DISCOVERY"),
+    ({"PROXY_DISCOVERY": "1.2.3.4:x"}, "PROXY_DISCOVERY"), ({"PROXY_TRACE": "/nowhere/trace"}, "PROXY_TRACE"),
     ({"text": "{"}, "PROXY_CONFIG"), ({"text": '{"settings":{"Siblings":"many"}}'}, "Siblings"),
     ({"text": '{"settings":{}}'}, "classes"),
 ])
