--- a/scaledeal/hcl/reading.py
+++ b/scaledeal/hcl/reading.py
@@ -77,10 +77,17 @@
         raise FileError([Fault(0, str(path), getattr(error, "strerror", None) or str(error))]) from None
 
 
-def read_as(text: str, kind: type[Kind], rules: Iterable[Rule]) -> Kind:
-    """Read a text as one kind of file and hold it against rules; raise FileError with all that is wrong."""
+def read_as(text: str, kind: type[Kind], rules: Iterable[Rule], under: Iterable[str] = ()) -> Kind:
+    """Read a text as one kind of file and hold it against rules; raise FileError with all that is wrong.
+
+    ``under`` holds the texts of files that this one builds on, the lowest first: its values take the place of theirs,
+    block by block and label by label; what stands only in one of them is taken from there.
+    """
     reader = _Reader()
     root = reader.tree(text)
+    for lower in reversed(list(under)):
+        below = _Reader().tree(lower)
+        root = _laid_over(root, below) if root is not None and below is not None else root
     taken = reader.struct(root, kind, "") if root is not None else None
     if taken is not None:
         spoken = {fault.place for fault in reader.faults}
@@ -100,6 +107,25 @@
             continue
 
 
+def _laid_over(over: Block, under: Block) -> Block:
+    """Return one block with another's values where it has none; lines are told of the upper one alone."""
+    values = {name: (0, value) for name, (_, value) in under.values.items()} | over.values
+    blocks = {name: [_laid_over(Block(0, each.label, {}, {}), each) for each in many]
+              for name, many in under.blocks.items()}
+    for name, many in over.blocks.items():
+        for each in many:
+            _add(blocks.setdefault(name, []), each)
+    return Block(over.line, over.label, values, blocks)
+
+
+def _add(blocks: list[Block], upper: Block) -> None:
+    for place, below in enumerate(blocks):
+        if below.label == upper.label and below.line == 0:
+            blocks[place] = _laid_over(upper, below)
+            return
+    blocks.append(upper)
+
+
 class _Unread(msgspec.Struct):
     """Stands for a value that is none."""
 
@@ -314,5 +340,5 @@
 
 _READERS: dict[str, Callable[[list[Any]], Any]] = {
     "unary_op": _signed, "expr_term": _single, "tuple": _listed, "int_lit": _number, "float_lit": _number,
-    "identifier": lambda inner: _token(str(inner[0])), "literal": _single, "keyword": _single,
+    "identifier": lambda inner: _token(str(inner[0])), "literal_value": lambda inner: _token(str(inner[0])),
 }
--- a/scaledeal/hcl/values.py
+++ b/scaledeal/hcl/values.py
@@ -5,8 +5,8 @@
 import math
 import re
 
-_UNITS = {"ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
-_DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,6})?)(ms|s|m|h)")
+_UNITS = {"us": 1000, "ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
+_DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,6})?)(us|ms|s|m|h)")
 
 
 class Duration(int):
--- a/scaledeal/lab/account/ledger.py
+++ b/scaledeal/lab/account/ledger.py
@@ -5,7 +5,8 @@
 - before it is up: waiting at the relay until an attempt begins, then in attempts that did not come up;
 - between two visits: after a refusal, a failure, a move, a break, a drain, a relay's end;
 - while it stands: ``MESSAGES`` apart come messages, and one that is late spoils the time until the next, or until it is
-  answered if that is longer.
+  answered if that is longer; so does a server that by any relay's report is asked for more than it can do, or at which
+  by any relay's note messages take longer than the class wants, until the next word of it, ``LASTS`` at most.
 
 A client that never comes again is booked ``GAVE_UP`` seconds at most, or until the lines end.
 """
@@ -22,10 +23,12 @@
 from scaledeal.net.trace import Line
 
 MESSAGES = 2.0  # seconds between two messages of a client, as the protocol tells
+LASTS = 2.0  # seconds for which one word of a server tells its state
 GAVE_UP = 10.0  # seconds booked for a client that does not come again
 SET_UP = 0.05  # seconds of a set-up that are nobody's fault
 HUNG = 2000.0  # ms of a message from which its server counts as hung
 UNKNOWN = "unattributed"
+STANDS = ("late messages", "standing")  # how the causes begin that befall connections that stand
 _GAPS = {End.REFUSED: "refused", End.FAILED: "failed", End.MOVED: "moved",
          End.SENT_AWAY: "sent away by a draining server", End.BROKEN: "broken", End.RELAY_GONE: "relay gone",
          End.LEFT: "client left unanswered"}
@@ -84,12 +87,24 @@
     def __init__(self) -> None:
         self.at: dict[str, list[float]] = defaultdict(list)
         self.told: dict[str, list[tuple[float, bool]]] = defaultdict(list)
+        self.slow: dict[str, list[tuple[float, float]]] = defaultdict(list)  # when, and ms of a message
 
     def take(self, line: Line) -> None:
         """Take a report."""
         self.at[line.server].append(line.at)
         self.told[line.server].append((line.asked, line.cold))
 
+    def troubles(self, server: str, aim: float, began: float, ended: float) -> Iterator[tuple[float, float, str]]:
+        """Yield when in a span a server served nobody of a class whose messages are wanted within ``aim`` ms."""
+        reports = zip(self.at[server], self.told[server], strict=True)
+        words = [(at, asked > 1, "asked too much") for at, (asked, _) in reports]
+        words += [(at, ms > aim > 0, "hung" if ms >= HUNG else "slow") for at, ms in self.slow[server]]
+        words = sorted(word for word in words if began - LASTS < word[0] < ended)
+        for place, (at, bad, why) in enumerate(words):
+            until = min(ended, at + LASTS, words[place + 1][0] if place + 1 < len(words) else ended)
+            if bad and until > max(at, began):
+                yield max(at, began), until, why
+
     def word(self, server: str, at: float) -> str:
         """Return a server's state at a moment, by its latest report from any relay."""
         place = bisect_right(self.at[server], at + 0.5) - 1
@@ -108,6 +123,7 @@
         self.prices = Prices()
         self.names: tuple[str, ...] = ()
         self.worths: tuple[float, ...] = ()
+        self.aims: tuple[float, ...] = ()
         self.relays = 0
         self.seconds: dict[int, Second] = defaultdict(Second)
         self.entries: list[Entry] = []
@@ -129,7 +145,7 @@
         second = self.seconds[int(line.at)]
         match line.what:
             case "start":
-                self.names, self.worths = line.names, line.worths
+                self.names, self.worths, self.aims = line.names, line.worths, line.aims
                 self.relays = max(self.relays, line.siblings)
                 self._rungs[line.relay] = 0
             case "send":
@@ -141,6 +157,8 @@
             case "report" if line.asked >= 0:
                 self.truth.take(line)
                 (second.cold if line.cold else second.asked).append(line.asked)
+            case "slow":
+                self.truth.slow[line.server].append((line.at, line.ms))
             case "rung":
                 self._rungs[line.relay] = line.rung
             case "move":
@@ -202,13 +220,16 @@
         return self.truth.word(attempt.server, attempt.began)
 
     def _late(self, visit: Visit, ended: float) -> None:
+        spoilt = [(late.sent, min(ended, max(late.until or ended, late.sent + MESSAGES)),
+                   f"late messages, server {'hung' if late.ms >= HUNG else self.truth.word(visit.server, late.sent)}")
+                  for late in visit.late]
+        aim = self.aims[visit.cls] if 0 <= visit.cls < len(self.aims) else 0.0
+        spoilt += [(began, until, f"standing at a server {why}")
+                   for began, until, why in self.truth.troubles(visit.server, aim, visit.up, ended)]
         reached = visit.up
-        for late in visit.late:
-            until = min(ended, max(late.until or ended, late.sent + MESSAGES))
-            began = max(reached, late.sent)
-            if until > began:
-                word = "hung" if late.ms >= HUNG else self.truth.word(visit.server, late.sent)
-                self._book(f"late messages, server {word}", visit, visit.server, began, until)
+        for began, until, cause in sorted(spoilt):  # no moment counts twice
+            if until > max(reached, began):
+                self._book(cause, visit, visit.server, max(reached, began), until)
                 reached = until
 
     def _gap(self, visit: Visit, after: Visit | None) -> None:
@@ -254,7 +275,7 @@
 
     def asked_for(self) -> float:
         """Return the worth-seconds that clients wanted: those that stood, and those without a connection."""
-        without = sum(e.seconds * self._worth(e.cls) for e in self.entries if not e.cause.startswith("late messages"))
+        without = sum(e.seconds * self._worth(e.cls) for e in self.entries if not e.cause.startswith(STANDS))
         return self.stood + without
 
     def by_class(self) -> dict[str, dict[str, float]]:
--- /dev/null
+++ b/scaledeal/lab/scenarios/hang.hcl
@@ -0,0 +1,9 @@
+# Some tile servers take requests and answer none.
+title = "hang"
+base  = "padova"
+
+trouble "hang" {
+  at    = ["8s", "18s"]
+  lasts = ["5.1s", "24s"]
+  part  = [0.06, 0.17]
+}
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -5,10 +5,8 @@
 import logging
 import os
 import socket
-import time
 from typing import Any, cast
 
-from twisted.internet import tcp
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import ServerFactory
 
@@ -20,6 +18,7 @@
 from scaledeal.net.farm import Farm
 from scaledeal.net.figures import Figures
 from scaledeal.net.gate import Door, Gate
+from scaledeal.net.grounds import Grounds
 from scaledeal.net.handover import Place
 from scaledeal.net.health_probe import HealthProbes
 from scaledeal.net.lobby import Lobby, most_descriptors
@@ -48,18 +47,19 @@
 class Relay:
     """One relay, from its start to its end."""
 
-    def __init__(self, reactor: Reactor, config: Config) -> None:
+    def __init__(self, reactor: Reactor, config: Config, grounds: Grounds | None = None) -> None:
         self.reactor = reactor
         self.config = config
+        self.grounds = grounds or Grounds()
         document = config.document
         self.figures = Figures(tuple(entry.name for entry in document.classes))
-        self.driver = Driver(reactor, config.settings, config.seed, self.figures)
+        self.driver = Driver(reactor, config.settings, config.seed, self.figures, self.grounds.monotonic)
         self._trace()
         pool = BufferPool()
         trade = Trade(reactor, pool, self.driver.now, report_reader(document.report.fields),
                       int(document.caps.dial_timeout))
         self.driver.prober = HealthProbes(trade, int(document.caps.idle_close), self.driver.post)
-        self.calendar = Calendar(time.monotonic_ns(), time.time_ns())
+        self.calendar = Calendar(self.grounds.monotonic(), self.grounds.unix())
         self.farm = self._farm()
         self.driver.watch = lambda: self.farm.watch()
         classes = {entry.name: number for number, entry in enumerate(document.classes)}
@@ -90,7 +90,7 @@
             return
         try:
             now = self.driver.now()
-            self.driver.trace = open_trace(self.config.trace, self.config.name, time.time_ns() - now)
+            self.driver.trace = open_trace(self.config.trace, self.config.name, self.grounds.unix() - now)
         except OSError as error:
             raise told.ConfigError(f"PROXY_TRACE: {self.config.trace}: {error.strerror}") from None
         self.driver.trace.begins(now, tuple(entry.name for entry in self.config.document.classes),
@@ -101,7 +101,7 @@
         admin = self.config.admin
         try:
             if admin is not None:
-                self.admin = self._listen(tcp.Port, admin, self.operators, "PROXY_ADMIN")
+                self.admin = self._listen(False, admin, self.operators, "PROXY_ADMIN")
                 log.info("operators call %s:%d", admin.host, self.admin.getHost().port)
             for side in self.sides:
                 side.start()
@@ -116,7 +116,7 @@
         self.farm.start_with(self.config.known, descriptor is not None)
         if descriptor is None:
             try:
-                self.port = self._listen(Gate, self.config.listen, self.door, "PROXY_LISTEN")
+                self.port = self._listen(True, self.config.listen, self.door, "PROXY_LISTEN")
             except told.ConfigError as error:
                 self._give_up(error)
                 return
@@ -150,14 +150,14 @@
         log.info("relay %s listens on %s:%d, %d application servers known", self.config.name,
                  self.config.listen.host, self.port.getHost().port, len(self.driver.addresses))
 
-    def _listen(self, kind: Any, at: told.Address, factory: ServerFactory, what: str) -> Port:
-        port = kind(at.port, factory, BACKLOG, at.host, self.reactor)
+    def _listen(self, clients: bool, at: told.Address, factory: ServerFactory, what: str) -> Port:
+        port = self.grounds.port(clients, at.port, factory, BACKLOG, at.host, self.reactor)
         try:
             port.startListening()
         except CannotListenError as error:
             # Guards against a trace and an exit code of its own where the address is taken or not ours.
             raise told.ConfigError(f"{what}: {error}") from None
-        return cast(Port, port)
+        return port
 
     def _give_up(self, why: told.ConfigError) -> None:
         self.failure = str(why)
--- a/scaledeal/net/trace.py
+++ b/scaledeal/net/trace.py
@@ -91,6 +91,8 @@
             case api.Outcome():
                 self.put(now, "out", request=event.request, server=event.server, result=event.result.value,
                          number=event.attempt, ms=event.elapsed / MS, stood=event.last)
+            case api.Note(kind=api.NoteKind.DELAY):
+                self.put(now, "slow", server=event.server, ms=event.amount)
             case api.ClientGone():
                 self.put(now, "gone", request=event.request)
             case api.ProbeResult():
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -31,7 +31,7 @@
 ESTIMATE_WINDOW = 20 * SECOND  # window of the admission estimate that rungs are fractions of
 
 # Placement
-TURNS = 3.0  # turns at a cold server for each one used: a gateway's client has two servers to go to
+TURNS = 3.0  # turns at most for each one used where a turn is less than a connection: most of those lapse
 STAY_UNDER = 0.7  # utilisation up to which a group keeps to its first server, or is moved to another
 FULL = 0.9  # utilisation up to which servers share what comes by the room they have
 STAY_RATIO = 1.5  # without reports: the multiple of the mean load up to which it does
@@ -271,8 +271,7 @@
         """Take one event and return the actions it calls for."""
         if now < self.now:
             raise ValueError("now: time went backwards")
-        self.now = now
-        self.out = []
+        self.now, self.out = now, []
         if self.started < 0:
             self.started = now
             self.ladder.estimated_at = self.ladder.started = now
@@ -450,8 +449,9 @@
         # Guards against a newcomer pushed over by all, or left idle by each of many: it takes no more than
         # fills it over its warm-up, times what the rule allows, and each gateway has its part of that.
         s, holds = self.settings, self.unit * server.weight / self._mean_charge()
+        part = s.overload_factor * holds / s.warm_after / s.siblings
         grown = s.cold_share * age + (1 - s.cold_share) * age * age / s.warm_after / 2
-        return TURNS * s.overload_factor * holds * grown / s.warm_after / s.siblings
+        return part * grown / min(1.0, max(1 / TURNS, part * SECOND))
 
     # Placement
 
@@ -583,7 +583,7 @@
     def _asks(self, flight: Flight, pair: list[Server]) -> bool:
         # Guards against placing by old reports: a gateway hears seldom of most servers.
         stale = [s for s in pair if s.reported < 0 or self.now - s.reported_at > FRESH]
-        waited = self.now - (flight.asked_at or self.now) >= PATIENCE
+        waited = self.now >= min((flight.asked_at or self.now) + PATIENCE, flight.deadline - 2 * PATIENCE)
         if not self.settings.may_probe or waited or len(self.held) > WAITING:
             return False
         self._probe([s for s in stale if self.now - s.asked_at > FRESH])
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -144,3 +144,13 @@
     assert run.invoke(app, ["lab", "account", str(tmp_path), "--plot", str(picture)]).exit_code == 0
     assert b"<svg" in picture.read_bytes()
     assert tables.table(("a", "b"), [("x", 1.0), ("yy", 22.5)])[1:] == ["x    1.00", "yy  22.50"]
+
+
+def test_a_connection_at_a_server_that_any_relay_heard_is_overloaded_is_lost_time():
+    told = lost(*starts("n0", "n1"), ask(0.0, server="s"), line(3.0, "report", "n1", server="s", asked=1.6, request=""),
+                line(4.0, "report", "n1", server="s", asked=0.5, request=""),
+                line(6.0, "slow", "n1", server="s", ms=700.0, request=""),
+                line(9.0, "late", server="s", ms=1500.0), line(20.0, "gone"))
+    # From 8 to 9.5 s the late message takes over from the note, which is told for 2 s.
+    assert told == {"standing at a server slow": 4.0, "late messages, server with room": 3.0,
+                    "standing at a server asked too much": 2.0}, told
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -82,6 +82,16 @@
     assert driver.server_of("r") != asked[0], "the report was of no use"
 
 
+def test_a_client_whose_time_is_nearly_up_does_not_wait_for_reports():
+    # Guards against a final answer after its time: found by the hunt, tests/lab_cases/mended-held-past-its-time.json.
+    driver = fleet(servers=4)[0]
+    driver.wait(4 * SECOND)
+    driver.probes_answered = False
+    driver.jobs["r"] = Job(0, driver.now + 100 * MS)
+    driver.event(api.Request("r", 0, driver.now + 100 * MS, key="k"))
+    assert driver.out() == ["r"], "held for a report that comes after its time"
+
+
 def test_a_server_that_leaves_a_probe_unanswered_costs_no_set_up():
     driver = fleet(servers=4)[0]
     driver.wait(4 * SECOND)
