--- a/scaledeal/cli/lab.py
+++ b/scaledeal/cli/lab.py
@@ -185,13 +185,16 @@
     seed: Annotated[int, typer.Option(min=0, help="Of the draws.")] = 1,
     host: Host = "module",
     variant: Annotated[str, typer.Option(help="now, rev:REVISION or file:PATH.")] = "now",
+    against: Annotated[str, typer.Option(help="Only days on which this other module keeps every rule.")] = "",
     keep: Annotated[Path, typer.Option(metavar="FOLDER", help="Where cases are kept.")] = Path("found"),
     workers: Workers = HALF,
 ) -> None:
     """Draw days until a rule breaks, shrink what was found and keep it. Exit code 1 where something was found."""
     from scaledeal.lab.hunt.party import hunted
     found = 0
-    for case in hunted(tries, seed, host, _variant(variant).source, workers, lambda text: typer.echo(text, err=True)):
+    other = _variant(against).source if against else None
+    for case in hunted(tries, seed, host, _variant(variant).source, workers, lambda text: typer.echo(text, err=True),
+                       other):
         found += 1
         keep.mkdir(parents=True, exist_ok=True)
         path = keep / f"{case.rule.replace(' ', '-')}-{case.seed}.json"
--- a/scaledeal/lab/hunt/draw.py
+++ b/scaledeal/lab/hunt/draw.py
@@ -33,6 +33,8 @@
     "pauses": (50, 900), "errors": (0.2, 1), "deploy": (0.1, 1), "shrink": (0, 0.5), "stale_roster": (0.5, 6),
     "slow_store": (1.5, 30), "crowd": (0.5, 20)}
 
+USUAL: dict[Kind, float] = {"deploy": 0.4, "reload": 0.3, "crowd": 0.3}  # how often a day has one besides
+
 
 class Bounds(msgspec.Struct, frozen=True):
     """How large a drawn day may be."""
@@ -42,7 +44,7 @@
     seconds: float = 12.0
     troubles: int = 3
     life: float = 6.0
-    clients: float = 60.0  # that stand at once, on average, at most
+    clients: float = 150.0  # that stand at once, on average, at most
 
 
 def drawn(draw: np.random.Generator, host: HostName, bounds: Bounds = Bounds()) -> Scenario:  # noqa: B008
@@ -66,7 +68,7 @@
         discovery=Discovery(notice=_times(draw, 100, 3000), add=_times(draw, 100, 1500), silent=_times(draw, 500, 4000),
                             call=Duration(int(draw.choice([1, 20, 200]) * MS))),
         store=Store(headroom=float(draw.choice([1.2, 5.0, 20.0]))),
-        trouble=tuple(_trouble(draw, seconds) for _ in range(count)))
+        trouble=tuple([_trouble(draw, seconds) for _ in range(count)] + _usual(draw, seconds)))
 
 
 def _servers(draw: np.random.Generator, count: int, per_core: float) -> Servers:
@@ -81,8 +83,13 @@
                   sockets=int(draw.choice([150, 1024])))
 
 
-def _trouble(draw: np.random.Generator, seconds: int) -> Trouble:
-    kind = KINDS[int(draw.integers(len(KINDS)))]
+def _usual(draw: np.random.Generator, seconds: int) -> list[Trouble]:
+    """Return what operators do every day and clients with them: most failures need one of these beside another."""
+    return [_trouble(draw, seconds, kind) for kind, share in USUAL.items() if draw.random() < share]
+
+
+def _trouble(draw: np.random.Generator, seconds: int, kind: Kind | None = None) -> Trouble:
+    kind = kind or KINDS[int(draw.integers(len(KINDS)))]
     at = int(draw.uniform(0, 0.8) * seconds)
     lasts = int(draw.uniform(0.1, 0.6) * seconds)
     low, high = SIZES.get(kind, (0.0, 0.0))
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -152,7 +152,7 @@
     probe_out: bool = False
     asked_at: int = -SECOND
     phase: float = 0.0  # while it is cold: this gateway's place in the row of those that take turns at it
-    turn: tuple[int, float] = (0, 0.0)  # the turn it was when last looked, and the charge sent in that
+    turns: list[tuple[int, float]] = field(default_factory=list)  # when it was lately sent to, and the charge
 
 
 class Ladder:
@@ -166,11 +166,10 @@
         self.index_sum, self.index_count, self.last_index = 0.0, 0, 0.0
         self.estimate = dict.fromkeys(worths, 0.0)  # accepted set-ups a second, by bucket
         self.accepted = dict.fromkeys(worths, 0)
-        self.estimated_at = self.started = 0
+        self.estimated_at = self.started = self.filled_at = 0
         self.shares = dict.fromkeys(worths, 1.0)  # of its estimate that a bucket gets
         self.rates = dict.fromkeys(worths, 0.0)
         self.tokens = dict.fromkeys(worths, 0.0)
-        self.filled_at = 0
 
     def sample(self, index: float) -> None:
         """Take one reading of the load index."""
@@ -273,8 +272,7 @@
             raise ValueError("now: time went backwards")
         self.now, self.out = now, []
         if self.started < 0:
-            self.started = now
-            self.ladder.estimated_at = self.ladder.started = now
+            self.started = self.ladder.estimated_at = self.ladder.started = now
             self.step_at = now + INTERVAL
             self.out = [*([api.Watch()] if self.settings.ask_discovery else []), api.SetTimer(TICK, 0)]
         self.handlers[type(event)](event)
@@ -438,12 +436,12 @@
         return bool(server.started) and self.now - server.started < self.settings.warm_after
 
     def _cold_room(self, server: Server) -> bool:
-        window = self.settings.overload_window or SECOND
-        turn = (self.now - server.started) // window
-        server.turn = server.turn if server.turn[0] == turn else (turn, 0.0)
-        due = [math.floor(server.phase + self._cold_share(server, t * window)) for t in (turn, turn + 1)]
+        window, age = self.settings.overload_window or SECOND, self.now - server.started
+        # Guards against two turns in one breath, the last of one span and the first of the next.
+        server.turns = [each for each in server.turns if each[0] > self.now - window]
+        due = [math.floor(server.phase + self._cold_share(server, at)) for at in (age, age + window)]
         # Guards against a restart of this gateway hiding what it sent just before.
-        return server.turn[1] < due[1] - due[0] and self.now - self.started >= window
+        return sum(c for _, c in server.turns) < due[1] - due[0] and self.now - self.started >= window
 
     def _cold_share(self, server: Server, age: int) -> float:
         # Guards against a newcomer pushed over by all, or left idle by each of many: it takes no more than
@@ -601,7 +599,8 @@
         server.pending += 1
         self.pending += 1
         self._attach(server, flight)
-        server.turn = (server.turn[0], server.turn[1] + self._charge(flight.cls) / self._mean_charge())
+        if self.cold(server):
+            server.turns.append((self.now, self._charge(flight.cls) / self._mean_charge()))
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self.out.append(api.Send(flight.id, server.id, max(1, timeout)))
 
