--- a/scaledeal/lab/hosts/relay/host.py
+++ b/scaledeal/lab/hosts/relay/host.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
+from collections.abc import Iterator
 from typing import Any, cast
 
 import msgspec
@@ -199,7 +201,7 @@
             door = self.fleet.front.pick(client.zone)
             if door is None or client.number not in places:
                 continue
-            client.id = f"c{client.number}.0"
+            client.id, client.asking = f"c{client.number}.0", True
             self.fleet.kernel.after(int(draw.random() * 100 * MS) + 20 * MS, lambda c=client, d=door, s=places[
                 client.number].name: self._come(c, d, s))  # type: ignore[misc]
 
@@ -228,7 +230,9 @@
 
     def held_at(self, id: str) -> bool:
         """Tell whether a server that answers holds a connection."""
-        return any(id in server.held and not server.stands_still() for server in self.fleet.servers.values())
+        case = self.fleet.witness.cases.get(id)
+        server = self.fleet.servers.get(case.out) if case is not None else None
+        return server is not None and id in server.held and not server.stands_still()
 
     def alive(self, door: Door) -> bool:
         """Tell whether a relay's process runs."""
@@ -353,6 +357,13 @@
         fleet.witness.owns(name, "buffers", relay.door.reception.trade.pool.out, fleet.kernel.now)
 
 
-def quiet() -> None:
-    """Have two hundred relays say nothing in the log of the laboratory's own process."""
-    logging.getLogger("scaledeal").setLevel(logging.CRITICAL)
+@contextlib.contextmanager
+def quiet() -> Iterator[None]:
+    """Have two hundred relays say nothing in the log of the laboratory's own process, while a run lasts."""
+    log = logging.getLogger("scaledeal")
+    before = log.level
+    log.setLevel(logging.CRITICAL)
+    try:
+        yield
+    finally:
+        log.setLevel(before)
--- a/scaledeal/lab/hosts/relay/peers.py
+++ b/scaledeal/lab/hosts/relay/peers.py
@@ -407,7 +407,7 @@
             return
         if self.standing:
             self.host.fleet.witness.answered(self.id, self.host.fleet.kernel.now, "UP")
-            client.up = client.stood = True
+            client.asking, client.up, client.stood = False, True, True
             client.finish_at_end()
         else:
             client.is_up()
--- a/scaledeal/lab/hosts/relay/sockets.py
+++ b/scaledeal/lab/hosts/relay/sockets.py
@@ -129,7 +129,8 @@
     def _fly(self, call: Callable[[], None]) -> None:
         peer = self.peer
         assert peer is not None
-        moment = max(self._last, self.net.kernel.now + self.net.way(self.machine, peer.machine))
+        # One after the other, never at one instant: what is drawn there must not reorder a stream.
+        moment = max(self._last + 1, self.net.kernel.now + self.net.way(self.machine, peer.machine))
         self._last = moment
         self.net.kernel.at(moment, lambda: self._land(call))
 
--- a/scaledeal/lab/hunt/case.py
+++ b/scaledeal/lab/hunt/case.py
@@ -9,6 +9,7 @@
 
 from scaledeal.hcl import Duration, Span, Times
 from scaledeal.lab.hosts.module import Factory
+from scaledeal.lab.hosts.relay.host import quiet
 from scaledeal.lab.kernel import RunawayError
 from scaledeal.lab.runs.play import HostName, hosted
 from scaledeal.lab.scenario.types import Scenario
@@ -58,7 +59,8 @@
     """Play a case: return the rule that it breaks first, if any, and its figure."""
     fleet = Fleet(case.day, case.seed, True, case.shuffle)
     try:
-        hosted(fleet, case.host, factory).run()
+        with quiet():
+            hosted(fleet, case.host, factory).run()
     except BrokenRuleError as broken:
         return broken.violation, 0.0
     except RunawayError as runaway:
--- a/scaledeal/lab/runs/play.py
+++ b/scaledeal/lab/runs/play.py
@@ -103,10 +103,7 @@
 
 def hosted(fleet: Fleet, host: HostName, factory: Factory) -> ModuleHost | RelayHost:
     """Return a host with its relays started."""
-    if host == "module":
-        return ModuleHost(fleet, factory)
-    quiet()
-    return RelayHost(fleet, factory)
+    return ModuleHost(fleet, factory) if host == "module" else RelayHost(fleet, factory)
 
 
 def play(job: Job, watch: Callable[[Fleet], None] = lambda fleet: None) -> Outcome:
@@ -116,9 +113,10 @@
     fleet = Fleet(day, job.seed, job.stop, job.shuffle)
     error = ""
     try:
-        host = hosted(fleet, job.host, factory)
-        watch(fleet)
-        host.run()
+        with quiet():
+            host = hosted(fleet, job.host, factory)
+            watch(fleet)
+            host.run()
     except BrokenRuleError:
         pass  # the witness has it
     except RunawayError as runaway:
--- a/tests/test_lab_days.py
+++ b/tests/test_lab_days.py
@@ -34,11 +34,11 @@
 
 
 def run(scenario: Scenario, host: str, seed: int = 1, source: str = "", shuffle: bool = False) -> Played:
-    quiet()
     fleet = Fleet(scenario, seed, True, shuffle)
     broken = None
     try:
-        HOSTS[host](fleet, module_from(source) if source else Balancer).run()
+        with quiet():
+            HOSTS[host](fleet, module_from(source) if source else Balancer).run()
     except BrokenRuleError as error:
         broken = error.violation
     result = fleet.service.result()
