Take a tenant by its name and watch the list agent where lists are pushed

A probe of wording.read_open on `OPEN .. c=guest-browse,t=owambe-frames,d=40000,..,at=s-1` gave None, on `t=0` a line: the protocol of both sites names the tenant (`t` "with the names that the settings use"), while read_open (wording.py:69, `_COUNT` on `t`) and UserAgent._first (`int(read.get("t"))`) took only a number, and carry.resume would have raised on the name. Home sends no `t`, so it held there by luck.

A second fault showed in a test of the new fixtures: with `Discovery: pushed` the relay never called its discovery at all (the process test timed out waiting for the first call). The module emits Watch only where discovery is asked (policy.py:277), and on sockets a pushed list is read from an agent on the relay's machine: nothing after the list in the configuration was ever told.

Change: Reception.tenant maps `t` by the settings' names (the older whole number below the count is still taken; an unknown name is no request), used by the user agent and by carried connections; read_open only checks its form.

Policy untouched.

--- a/scaledeal/net/carry.py
+++ b/scaledeal/net/carry.py
@@ -92,14 +92,15 @@
         paused = msgspec.json.decode(told.state, type=wording.Paused)
         read = wording.read_open(paused.line)
         number = reception.classes.get(read.get("c")) if read else None
-        if read is None or number is None:
+        tenant = reception.tenant(read) if read else None
+        if read is None or number is None or tenant is None:
             raise ValueError(f"no request of this relay: {paused.line!r}")
         agent = UserAgent(reception)
         _adopt(reception.trade.reactor, descriptors[0], agent)
     except (msgspec.MsgspecError, ValueError, OSError) as error:
         log.warning("a connection that was handed over is not taken: %s", error)
         return False
-    transaction = driver.resume(asked(read, number, driver.now()), agent, told.server, told.load)
+    transaction = driver.resume(asked(read, number, tenant, driver.now()), agent, told.server, told.load)
     current = ProxyPass(reception.trade, paused.line, agent, transaction)
     transaction.current = current
     agent.resumed(read, transaction, current)
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -63,8 +63,9 @@
         self.farm = self._farm()
         self.driver.watch = lambda: self.farm.watch()
         classes = {entry.name: number for number, entry in enumerate(document.classes)}
+        tenants = {entry.name or str(number): number for number, entry in enumerate(document.accounts)}
         lobby = Lobby(reactor, most_descriptors(config.sockets), self.driver.now)
-        self.door = Door(Reception(trade, classes, max(1, len(document.accounts)), lobby, self.driver.take,
+        self.door = Door(Reception(trade, classes, tenants, lobby, self.driver.take,
                                    lambda: self.service.stage is not Stage.LAME_DUCK))
         self.port: Port | None = None
         self.service = Service(self.driver)
@@ -114,6 +115,11 @@
     def _open(self, descriptor: int | None) -> None:
         """Listen on the socket that was handed over, or on one of our own."""
         self.farm.start_with(self.config.known, descriptor is not None)
+        if not self.config.settings.ask_discovery:
+            # Guards against a list that is never read where it is pushed: the agent on this machine answers at
+            # once and at no cost, and what it holds counts as told, so it is watched from the start. The module
+            # asks only where discovery is one service for all relays, and again after any failure.
+            self.farm.watch()
         if descriptor is None:
             try:
                 self.port = self._listen(True, self.config.listen, self.door, "PROXY_LISTEN")
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -34,16 +34,30 @@
 
     trade: Trade
     classes: dict[str, int]
-    tenants: int
+    tenants: dict[str, int]  # tenants' names in the settings, and their numbers
     lobby: Lobby
     take: Callable[[Ask, Agent], Transaction]
     ready: Callable[[], bool]  # whether a front that asks is told yes
     resume: list[Resume] = msgspec.field(default_factory=list)  # who takes resumable sessions: none, or one
     ids: set[str] = msgspec.field(default_factory=set)  # of the requests and connections that are open here
 
+    def tenant(self, read: wording.OpenLine) -> int | None:
+        """Return the number of the tenant that a first line names in ``t``; None for one the settings lack.
 
-def asked(read: wording.OpenLine, number: int, now: int) -> Ask:
-    """Return what a first line asks for at this moment."""
+        ``t`` names a tenant as the settings do (the protocol of both deployments); a whole number below
+        their count, the older form, is taken too. Without ``t`` a request is the first tenant's.
+        """
+        told = read.get("t")
+        if not told:
+            return 0
+        if (number := self.tenants.get(told)) is not None:
+            return number
+        count = max(1, len(self.tenants))
+        return int(told) if told.isdigit() and len(told) < 10 and int(told) < count else None
+
+
+def asked(read: wording.OpenLine, number: int, tenant: int, now: int) -> Ask:
+    """Return what a first line asks for at this moment: of class ``number``, for tenant ``tenant``."""
     wait = int(read.get("d"))
     if read.get("at"):
         wait = min(wait, STOOD)  # guards against one that waits for hours for a server that no list names
@@ -52,7 +66,7 @@
         deadline=now + wait * wording.MS,
         key=read.key,
         group=read.get("g"),
-        tenant=int(read.get("t") or 0),
+        tenant=tenant,
         returning=read.get("again") == "1",
         load_hint=wording.number(read.get("h")) / 1000,  # nanoseconds a second, as in the simulator
         standing_at=read.get("at"),
@@ -142,7 +156,8 @@
             return
         read, reception = wording.read_open(line), self.reception
         number = reception.classes.get(read.get("c")) if read else None
-        if read is None or number is None or int(read.get("t") or 0) >= reception.tenants:
+        tenant = reception.tenant(read) if read else None
+        if read is None or number is None or tenant is None:
             self._reject("no request")
             return
         if read.id in reception.ids:
@@ -158,7 +173,7 @@
             if session is not None:
                 session.cut = self._cut
         self._has_asked(Stage.ASKED, read)
-        self.transaction = reception.take(asked(read, number, reception.trade.now()), self)
+        self.transaction = reception.take(asked(read, number, tenant, reception.trade.now()), self)
 
     def _has_asked(self, stage: Stage, read: wording.OpenLine) -> None:
         self._stop_timer()
--- a/scaledeal/net/wording.py
+++ b/scaledeal/net/wording.py
@@ -66,7 +66,7 @@
         if not (name and equals) or name in names:
             return None
         names[name] = value
-    figures = _FIGURE.fullmatch(names.get("h", "0")) and _COUNT.fullmatch(names.get("t", "0"))
+    figures = _FIGURE.fullmatch(names.get("h", "0")) and _ID.fullmatch(names.get("t", "0"))  # a tenant's name
     wait = names.get("d", "")
     if not (_ID.fullmatch(parts[1]) and parts[2] and figures and names.get("c") and _COUNT.fullmatch(wait)):
         return None
--- a/tests/test_relay_process.py
+++ b/tests/test_relay_process.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 import pytest
+from sites import SITES, Site
 
 from scaledeal.net.config import Address
 from scaledeal.net.handover import Place
@@ -319,6 +320,30 @@
         world.process.wait()
 
 
+@pytest.mark.parametrize("site", SITES, ids=lambda site: site.name)
+def test_each_site_passes_up_for_standing_connections_and_serves_every_class_and_tenant(
+        tmp_path: Path, site: Site) -> None:
+    # Guards against a tenant told by its name, as the protocol of both sites has it, taken for no request.
+    world = World(tmp_path, known=False, settings=site.settings)
+    try:
+        tenants = site.tenants or ("",)
+        standing = world.client(site.open(1, tenant=tenants[-1], more=",at=s0", wait=60_000))
+        world.tell(9, world.entries(zone=site.zones[0]), snapshot=True)
+        server, first = world.servers[0].asked()
+        assert first.endswith(",at=s0"), first
+        server.send("UP 1")
+        assert standing.read() == "UP 1", f"{site.name}: a connection from before the start was not passed UP"
+        for number, (name, tenant) in enumerate(((c, t) for c in site.classes for t in tenants), start=2):
+            client = world.client(site.open(number, name, tenant))
+            server, first = world.servers[0].asked()
+            assert f"c={name}" in first, first
+            server.send(f"UP {number}")
+            assert client.read() == f"UP {number}", f"{site.name}: {name} of {tenant or 'no tenant'} not served"
+    finally:
+        world.process.kill()
+        world.process.wait()
+
+
 def test_the_watch_goes_on_at_once_and_a_gap_asks_for_the_whole_list(world: World) -> None:
     assert "after=4&" in world.query
     world.tell(7, world.entries(), snapshot=True)
