Play the second deployment in the laboratory: tenants, pushed lists, neighbours, late reports

Need: the regression tests are to run both deployments in turn, and the laboratory knew one only: asked lists, no tenants, reports that count connections, goal and time-outs fixed in code. Change: scenario blocks tenant and goal, discovery.mode, servers.sheds, live weights, the report field queue, the troubles slow, neighbour and report_late; scenarios lagos, lagos-saturday and lagos-overload; service by class and tenant, with what is beyond a quota worth less. padova and lagos-saturday play on both hosts in the tests. The relay host said at first that nine descriptors were left: probe connections, kept for the settings' 60 s of idleness; the host now waits for as long as the settings say.

--- a/scaledeal/lab/hosts/module.py
+++ b/scaledeal/lab/hosts/module.py
@@ -15,7 +15,6 @@
 
 from scaledeal import interface as api
 from scaledeal.lab.kernel import Moment
-from scaledeal.lab.scenario.types import Scenario
 from scaledeal.lab.truth import BrokenRuleError
 from scaledeal.lab.world.before import stood
 from scaledeal.lab.world.clients import Client
@@ -28,7 +27,6 @@
 
 MS = 1_000_000
 SECOND = 1000 * MS
-DIAL = 250 * MS  # after which a connection that does not come up counts as failed
 PROBE = 500 * MS  # that a probe may take
 WATCH = 10 * SECOND  # that a watch may wait
 STOP = 1600 * MS  # between a planned end's beginning and its moves
@@ -158,7 +156,8 @@
             relay.fleet.kernel.after(relay.way(self.server), lambda: None if self.over else call())
 
     def _silent_dial(self) -> None:
-        self.host.fleet.kernel.after(DIAL, lambda: self.ends(api.Result.CONNECT_FAILED))
+        fleet = self.host.fleet
+        fleet.kernel.after(int(fleet.day.network.dial), lambda: self.ends(api.Result.CONNECT_FAILED))
 
     def _timed_out(self) -> None:
         early = self.held is None
@@ -172,7 +171,7 @@
         self.host, self.fleet, self.door = host, host.fleet, door
         day = self.fleet.day
         self.draw = self.fleet.streams.of("relay", door.name, start)
-        settings = told_to(day, door).settings()
+        settings = told_to(self.fleet, door).settings()
         self.balancer = host.factory(settings, int(self.draw.integers(1 << 62)))
         self.flights: dict[str, Flight] = {}
         self.alive, self.serving = True, True
@@ -227,7 +226,7 @@
         self.host.here[client.number] = (self, flight)
         fleet.witness.asked(client.id, self.door.name, now, flight.deadline)
         self.post(api.Request(flight.name, client.cls, flight.deadline, client.key, client.group,
-                              returning=client.stood))
+                              client.tenant, returning=client.stood))
 
     def stands(self, client: Client, server: TileServer) -> None:
         """Have a client's connection stand from before the run."""
@@ -239,7 +238,7 @@
         self.host.here[client.number] = (self, flight)
         self.fleet.witness.standing(client.id, self.door.name, server.name, self.fleet.kernel.now)
         held = flight.attempt.held = self.fleet.crowd.held(client, flight.attempt)
-        self.post(api.OpenConnection(flight.name, client.cls, server.name, client.key, client.group))
+        self.post(api.OpenConnection(flight.name, client.cls, server.name, client.key, client.group, client.tenant))
         server.stands_already(held)
         client.up = client.stood = True
         client.finish_at_end()
@@ -553,7 +552,7 @@
         new.flights[flight.name] = flight
         self.here[flight.client.number] = (new, flight)
         new.post(api.OpenConnection(flight.name, flight.client.cls, flight.attempt.server.name, flight.client.key,
-                                    flight.client.group, inherited=True))
+                                    flight.client.group, flight.client.tenant, inherited=True))
 
     def _notice(self, relay: ModuleRelay) -> None:
         if self.relays[relay.door.number] is relay:
@@ -580,6 +579,8 @@
             self.fleet.witness.told(door.name, entry.name, entry.status, entry.since_ms > 0, self.fleet.kernel.now)
         event = membership(self.fleet, Answer(directory.index, True, known))
         relay.post(initial(event))
+        if directory.pushed:
+            relay._watch()
         return relay
 
     def _stand(self) -> None:
@@ -592,9 +593,10 @@
                 self.relays[door.number].stands(client, places[client.number])
 
 
-def told_to(day: Scenario, door: Door) -> Document:
+def told_to(fleet: Fleet, door: Door) -> Document:
     """Return the settings of one relay as the platform would tell them."""
-    return msgspec.convert(document(day, door.number, door.zone), Document, strict=False)
+    told = document(fleet.day, door.number, door.zone, fleet.crowd.quotas)
+    return msgspec.convert(told, Document, strict=False)
 
 
 def initial(event: api.Membership) -> api.Membership:
--- a/scaledeal/lab/hosts/relay/host.py
+++ b/scaledeal/lab/hosts/relay/host.py
@@ -12,10 +12,8 @@
 from collections.abc import Iterator
 from typing import Any, cast
 
-import msgspec
-
 from scaledeal.hcl import Fault, FileError
-from scaledeal.lab.hosts.module import Factory
+from scaledeal.lab.hosts.module import Factory, told_to
 from scaledeal.lab.hosts.relay.peers import STOOD, BadEnd, ClientEnd, DirectoryListener, TileListener
 from scaledeal.lab.hosts.relay.reactor import OWN, Process, SimReactor
 from scaledeal.lab.hosts.relay.sockets import End, Machine, Net
@@ -23,7 +21,6 @@
 from scaledeal.lab.world.clients import Client
 from scaledeal.lab.world.fleet import EPOCH, Door, Fleet
 from scaledeal.lab.world.server import TileServer
-from scaledeal.lab.world.told import document
 from scaledeal.net.config import Address, Config
 from scaledeal.net.grounds import Grounds
 from scaledeal.net.ports import Port, Reactor
@@ -31,7 +28,6 @@
 from scaledeal.net.roster import Endpoint, Roster
 from scaledeal.net.service import Stage
 from scaledeal.policy import Balancer
-from scaledeal.settings import Document
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -153,7 +149,8 @@
         fleet.kernel.run(fleet.day.seconds + longest + fleet.day.rules.slack + SECOND)
         for client in list(fleet.crowd.here.values()):
             client._finish()
-        fleet.kernel.run(fleet.kernel.now + 12 * SECOND)  # kept probe connections are closed by then
+        # Probe connections are kept until they were idle for as long as the settings say, and closed by then.
+        fleet.kernel.run(fleet.kernel.now + int(fleet.day.network.idle) + 7 * SECOND)
         for each in self.running:
             self._owners(each)
 
@@ -288,7 +285,7 @@
     def config(self, running: Running) -> Config:
         """Return what a relay is told at its start, as the platform would."""
         fleet, door = self.fleet, running.door
-        told = msgspec.convert(document(fleet.day, door.number, door.zone), Document, strict=False)
+        told = told_to(fleet, door)
         known = [entry for entry in fleet.directory.entries.values() if entry.status != "left"]
         endpoints = tuple(Endpoint(each.name, each.address, each.zone, each.group, cast(Any, each.status), each.weight,
                                    each.since_ms) for each in known)
--- a/scaledeal/lab/hosts/relay/peers.py
+++ b/scaledeal/lab/hosts/relay/peers.py
@@ -357,6 +357,7 @@
         kind = client.kind
         wait = STOOD if at else kind.deadline
         words = f"c={kind.name},d={int(wait // MS)}" + (f",g={client.group}" if client.group else "")
+        words += f",t={client.crowd.day.tenant[client.tenant].name}" if client.crowd.day.tenant else ""
         words += (",again=1" if client.stood else "") + (f",at={at}" if at else "")
         self.standing = bool(at)
         self.say(f"OPEN {self.id} {client.key} {words}".encode())
--- a/scaledeal/lab/scenario/rules.py
+++ b/scaledeal/lab/scenario/rules.py
@@ -9,9 +9,10 @@
 from scaledeal.lab.scenario.types import Class, Clients, Model, Network, Scenario, Servers, Trouble
 
 LONGEST = 2 * 86_400_000_000_000  # ns
-_PARTS = {"hang", "pauses", "errors", "deploy", "shrink", "silent_streams", "crash", "resets", "relay_kill",
-          "relay_restart", "upgrade", "reload"}
-_SIZED = {"slow_store": (1.0, "times slower"), "crowd": (0.0, "times the usual rate"), "shrink": (0.0, "")}
+_PARTS = {"slow", "neighbour", "hang", "pauses", "errors", "deploy", "shrink", "silent_streams", "crash", "resets",
+          "relay_kill", "relay_restart", "upgrade", "reload"}
+_SIZED = {"slow_store": (1.0, "times slower"), "slow": (1.0, "times slower"), "report_late": (0.0, "seconds"),
+          "crowd": (0.0, "times the usual rate"), "shrink": (0.0, "")}
 
 
 def _seconds(file: Scenario) -> Iterator[Breach]:
@@ -34,6 +35,19 @@
         yield from told((_class,), each)
 
 
+def _tenants(file: Scenario) -> Iterator[Breach]:
+    yield from _twice("tenant", [each.name for each in file.tenant])
+
+
+def _goal(file: Scenario) -> Iterator[Breach]:
+    goal = file.goal
+    whole = goal.whole + goal.worst_window + goal.worst_class + goal.worst_tenant
+    if abs(whole - 1) > 1e-6:
+        yield "goal", f"its shares must come to 1, not {whole:g}"
+    if goal.worst_tenant and not file.tenant:
+        yield "goal.worst_tenant", 'must be 0 without tenants: tenant "NAME" { ... }'
+
+
 def _class(each: Class) -> Iterator[Breach]:
     place = f'class["{each.name}"]'
     if each.aim <= 0 or each.deadline <= 0:
@@ -112,6 +126,8 @@
         yield f"{place}.size", f"must be above {least:g} ({unit})"
     if each.name == "pauses" and (each.size <= 0 or each.period.low <= 0):
         yield f"{place}.size", "must be above 0: the ms for which a server stands still, every period"
+    if each.name == "neighbour" and not (0 < each.size < 1 and each.period.low > 0):
+        yield f"{place}.size", "must lie between 0 and 1: the share of the machine that is taken, every other period"
     if each.name == "deploy" and not 0 < each.size <= 1:
         yield f"{place}.size", "must lie above 0 and at most at 1: the share of the fleet replaced at a time"
 
@@ -123,4 +139,4 @@
         yield place, "needs a name"
 
 
-RULES: tuple[Rule, ...] = (_seconds, _zones, _classes, _servers, _clients, _network, _troubles)
+RULES: tuple[Rule, ...] = (_seconds, _zones, _classes, _tenants, _goal, _servers, _clients, _network, _troubles)
--- a/scaledeal/lab/scenario/types.py
+++ b/scaledeal/lab/scenario/types.py
@@ -48,7 +48,8 @@
 
     count: Some = 14
     model: tuple[Model, ...] = (Model(name="plain"),)
-    weights: Literal["none", "nominal", "rough"] = "rough"  # what the list tells: cores times speed, or cores
+    # What the list tells: cores times speed; cores; or cores over 1 and the connections held for each of them.
+    weights: Literal["none", "nominal", "rough", "live"] = "rough"
     per_core: Span = span(15)  # connections of mean load that fill a reference core
     setup: Times = times(8)  # work of a reference core for a set-up
     handshakes: Span = span(1, 2)  # round trips before a new connection can carry a line
@@ -58,7 +59,8 @@
     goaway: bool = True  # whether one that drains sends its clients away at once
     leaves: Times = times(2500, 4000)  # time from the beginning of a drain until the process is gone
     queue: Times = times(400)  # set-up work that may wait; a new connection beyond it is turned away
-    buffer: Times = times(1500)  # piled up work of messages past which the heaviest connections are dropped
+    buffer: Times = times(1500)  # piled up work of messages past which connections are dropped
+    sheds: Literal["heaviest", "newest"] = "heaviest"  # which of them
     probe: Times = times(0.27)  # work of a reference core for a probe
     report_period: Times = times(540, 1400)  # how often reports are refreshed
     report_delay: Times = times(100, 470)  # and how old they are then at least
@@ -83,6 +85,14 @@
     change: Times = times(6000, 18_000)  # how often it changes
 
 
+class Tenant(Block, frozen=True):
+    """A customer with a share of the service."""
+
+    name: str = ""
+    share: Positive = 1.0  # of new connections, over the sum of all tenants' shares
+    quota: Positive = 1.0  # of what the fleet can do: what it asks beyond that is worth less
+
+
 class Clients(Block, frozen=True):
     """Who comes, how often and with what habits."""
 
@@ -99,6 +109,7 @@
     rejoin: Times = times(91, 910)  # from a move or a break until the client comes again
     honour: Share = 0.65  # of clients that wait as long as BUSY asks
     impatient: Share = 0.0  # of clients that leave before their time
+    over_worth: Share = 0.1  # worth of what a tenant asks beyond its quota, over the usual
     bad: Amount = 0.0  # clients a second that send what is no request (host relay)
 
 
@@ -116,6 +127,7 @@
 class Discovery(Block, frozen=True):
     """The list."""
 
+    mode: Literal["asked", "pushed"] = "asked"  # one service that handles calls in turn, or an agent at each relay
     notice: Times = times(540, 4900)  # until it knows that a process drains or has ended
     silent: Times = times(4000, 12_000)  # the same of a machine that vanished
     add: Times = times(720, 2400)  # until it knows of a new one
@@ -140,6 +152,8 @@
     client: Times = times(0.3, 1.1)
     jitter: Amount = 0.2  # relative, of each message
     segment: Some = 1448  # bytes that one segment carries (host relay)
+    dial: Duration = Duration(250 * MS)  # after which a connection that does not come up counts as failed
+    idle: Duration = Duration(5000 * MS)  # after which one without use is closed
 
 
 class Rules(Block, frozen=True):
@@ -152,7 +166,16 @@
     slack: Duration = Duration(50 * MS)  # by which all of it may be late
     line: Duration = Duration(1000 * MS)  # that a line may be held back
     retry_after: Duration = Duration(1500 * MS)
-    report_fields: tuple[Literal["eps", "inflight", "x0"], ...] = ("eps", "inflight", "x0")
+    report_fields: tuple[Literal["eps", "inflight", "queue", "x0"], ...] = ("eps", "inflight", "x0")
+
+
+class Goal(Block, frozen=True):
+    """What service is made of: shares of the figure."""
+
+    whole: Share = 0.5
+    worst_window: Share = 0.2  # the worst ten seconds
+    worst_class: Share = 0.3
+    worst_tenant: Share = 0.0  # within its quota
 
 
 class Prices(Block, frozen=True):
@@ -167,7 +190,7 @@
 
 Kind = Literal["hang", "pauses", "errors", "deploy", "shrink", "stale_roster", "silent_streams", "crash", "zone_lost",
                "zone_cut", "resets", "slow_store", "crowd", "relay_kill", "relay_restart", "upgrade", "reload",
-               "discovery_down"]
+               "discovery_down", "slow", "neighbour", "report_late"]
 
 
 class Trouble(Block, frozen=True):
@@ -193,10 +216,12 @@
     servers: Servers = Servers()
     relays: Relays = Relays()
     classes: tuple[Class, ...] = ()
+    tenant: tuple[Tenant, ...] = ()
     clients: Clients = Clients()
     discovery: Discovery = Discovery()
     store: Store = Store()
     network: Network = Network()
     rules: Rules = Rules()
+    goal: Goal = Goal()
     prices: Prices = Prices()
     trouble: tuple[Trouble, ...] = ()
--- a/scaledeal/lab/truth/service.py
+++ b/scaledeal/lab/truth/service.py
@@ -1,7 +1,9 @@
 """Service as operators count it: the worth of well served seconds over the worth of all seconds asked for.
 
-Half of the figure is the whole day, a fifth the worst ten seconds, three tenths the worst class; prices come off. What
-is asked for by a client counts from its first line until it would have been done, or the day ends.
+The figure is made of the whole day, the worst ten seconds, the worst class and the worst tenant, in the shares that
+the scenario's goal gives; prices come off. What is asked for by a client counts from its first line until it would
+have been done, or the day ends. What a tenant asks beyond its quota is worth ``clients.over_worth`` of the usual,
+whoever of its clients is served.
 """
 
 from __future__ import annotations
@@ -15,7 +17,6 @@
 
 SECOND = 1_000_000_000
 WINDOW = 10  # seconds of the worst stretch
-WHOLE, WORST_WINDOW, WORST_CLASS = 0.5, 0.2, 0.3
 LONGEST_MS = 3_600_000
 COUNTED = ("clients", "standing", "again", "attempts", "wasted", "far", "moves", "probes", "refused", "failed",
            "broken", "sent_away", "gave_up", "no_relay", "lines")
@@ -27,9 +28,11 @@
     def __init__(self, day: Scenario) -> None:
         self.day = day
         self.seconds = int(np.ceil(day.seconds / SECOND))
-        classes = len(day.classes)
-        self.asked_for = np.zeros((classes, self.seconds))
-        self.served = np.zeros((classes, self.seconds))
+        self.tenants = max(1, len(day.tenant))
+        self.quotas: tuple[float, ...] = ()  # connections within each tenant's share
+        cells = len(day.classes) * self.tenants  # by class, and by tenant within it
+        self.asked_for = np.zeros((cells, self.seconds))
+        self.served = np.zeros((cells, self.seconds))
         self.counts: dict[str, int] = dict.fromkeys(COUNTED, 0)
         self.by_second: dict[str, np.ndarray] = {}
         self.work = self.waste = 0.0
@@ -38,13 +41,13 @@
 
     # What is booked
 
-    def wants(self, cls: int, since: int, until: int) -> None:
+    def wants(self, cell: int, since: int, until: int) -> None:
         """Book that a client wants its connection between two moments."""
-        self._spread(self.asked_for[cls], since, (min(until, self.day.seconds) - since) / SECOND, 1.0)
+        self._spread(self.asked_for[cell], since, (min(until, self.day.seconds) - since) / SECOND, 1.0)
 
-    def earned(self, cls: int, since: int, span: float, amount: float) -> None:
+    def earned(self, cell: int, since: int, span: float, amount: float) -> None:
         """Book connections well served: so many for a span of seconds."""
-        self._spread(self.served[cls], since, span, amount)
+        self._spread(self.served[cell], since, span, amount)
 
     def worked(self, work: float, wasted: bool) -> None:
         """Book the work of a set-up, in seconds of a reference core, and whether it came to nothing."""
@@ -65,18 +68,21 @@
 
     def result(self) -> dict[str, Any]:
         """Return the figures of the run as one object."""
-        worth = np.array([each.worth for each in self.day.classes])[:, None]
+        worth, goal = self._worth(), self.day.goal
         asked, served = self.asked_for * worth, np.minimum(self.served, self.asked_for * 1.0 + 1e-9) * worth
         whole = _share(served.sum(), asked.sum())
-        classes = {each.name: _share(s.sum(), a.sum())
-                   for each, s, a in zip(self.day.classes, served, asked, strict=True) if a.sum() > 0}
+        classes = self._parts([each.name for each in self.day.classes], served, asked, 0)
+        tenants = self._parts([each.name for each in self.day.tenant], served, asked, 1)
         worst, where = self._worst(served.sum(axis=0), asked.sum(axis=0), whole)
         worst_class = min(classes.values(), default=whole)
+        worst_tenant = min(tenants.values(), default=whole)
         prices = self.prices()
-        service = WHOLE * whole + WORST_WINDOW * worst + WORST_CLASS * worst_class
+        service = (goal.whole * whole + goal.worst_window * worst + goal.worst_class * worst_class
+                   + goal.worst_tenant * worst_tenant)
         return {"G": round(service - sum(prices.values()), 4), "service": round(service, 4), "whole": round(whole, 4),
                 "worst_10s": round(worst, 4), "worst_from_s": where, "worst_class": round(worst_class, 4),
                 "classes": {name: round(share, 4) for name, share in classes.items()},
+                "tenants": {name: round(share, 4) for name, share in tenants.items()},
                 "prices": {name: round(price, 4) for name, price in prices.items()}, "counts": dict(self.counts),
                 "set_up_ms": _percentiles(self.set_up), "first_try_ms": _percentiles(self.first_try)}
 
@@ -91,12 +97,27 @@
 
     def series(self) -> dict[str, list[float]]:
         """Return what happened by second."""
-        worth = np.array([each.worth for each in self.day.classes])[:, None]
+        worth = self._worth()
         asked, served = (self.asked_for * worth).sum(axis=0), (self.served * worth).sum(axis=0)
         shares = np.divide(served, asked, out=np.ones(self.seconds), where=asked > 0)
         return {"share": [round(float(each), 4) for each in shares],
                 **{name: [int(each) for each in row] for name, row in sorted(self.by_second.items())}}
 
+    def _worth(self) -> np.ndarray:
+        """Return the worth of a second by cell and second of the day."""
+        worth = np.repeat([each.worth for each in self.day.classes], self.tenants)[:, None]
+        if not self.quotas:
+            return np.asarray(worth)
+        asked = self.asked_for.reshape(-1, self.tenants, self.seconds).sum(axis=0)
+        within = np.minimum(1.0, np.array(self.quotas)[:, None] / np.maximum(asked, 1e-9))
+        part = within + (1 - within) * self.day.clients.over_worth
+        return np.asarray(worth * np.tile(part, (len(self.day.classes), 1)))
+
+    def _parts(self, names: list[str], served: np.ndarray, asked: np.ndarray, axis: int) -> dict[str, float]:
+        """Return the share served of each class (axis 0) or tenant (axis 1) that asked for anything."""
+        told = [each.reshape(-1, self.tenants, self.seconds).sum(axis=(1 - axis, 2)) for each in (served, asked)]
+        return {name: _share(s, a) for name, s, a in zip(names, *told, strict=False) if a > 0}
+
     def _worst(self, served: np.ndarray, asked: np.ndarray, whole: float) -> tuple[float, int]:
         if self.seconds <= WINDOW:
             return whole, 0
--- a/scaledeal/lab/world/clients.py
+++ b/scaledeal/lab/world/clients.py
@@ -39,6 +39,7 @@
     def __init__(self, crowd: Crowd, number: int, cls: int, zone: int, group: str, wants: int,
                  draw: np.random.Generator) -> None:
         self.crowd, self.number, self.cls, self.zone, self.group = crowd, number, cls, zone, group
+        self.tenant = crowd.tenant_of(draw)
         self.draw = draw
         self.key = f"k{number}"
         self.load = crowd.draw_load(cls, draw)
@@ -54,6 +55,11 @@
         self._timer: Moment | None = None
         self._due: Moment | None = None
 
+    @property
+    def cell(self) -> int:
+        """Return where its service is booked."""
+        return self.cls * self.crowd.service.tenants + self.tenant
+
     @property
     def kind(self) -> Class:
         """Return its class."""
@@ -209,6 +215,9 @@
         mean_life = float((self.shares * np.array(self.lives)).sum()) * self.life / SECOND
         self.rate = standing / mean_life  # new clients a second
         self.expected = standing
+        tenants = np.array([each.share for each in day.tenant] or [1.0])
+        self.tenants = np.cumsum(tenants / tenants.sum())
+        self.quotas = service.quotas = tuple(each.quota * power * per_core for each in day.tenant)
         self.zones = self._zone_shares()
         self.groups = self._group_shares(standing)
         self.numbered = 0
@@ -241,17 +250,22 @@
         client = Client(self, self.numbered, min(cls, len(self.shares) - 1), min(zone, len(self.zones) - 1), group,
                         self._wants(cls, draw), draw)
         self.here[client.number] = client
-        self.service.wants(client.cls, client.since, client.done_at)
+        self.service.wants(client.cell, client.since, client.done_at)
         self.service.count("standing" if standing else "clients", self.kernel.now)
         return client
 
+    def tenant_of(self, draw: np.random.Generator) -> int:
+        """Draw a client's tenant; without any, nothing is drawn."""
+        return int(np.searchsorted(self.tenants, draw.random())) if len(self.tenants) > 1 else 0
+
     def left(self, client: Client) -> None:
         """Be done with a client."""
         self.here.pop(client.number, None)
 
     def held(self, client: Client, seat: object) -> Held:
         """Return what a server holds of a client's connection."""
-        return Held(seat, client.id, client.cls, client.group, client.load, client.draw)  # type: ignore[arg-type]
+        return Held(seat, client.id, client.cls, client.group, client.load, client.draw,  # type: ignore[arg-type]
+                    client.cell)
 
     def draw_load(self, cls: int, draw: np.random.Generator) -> float:
         """Return a connection's load, in reference cores."""
--- a/scaledeal/lab/world/directory.py
+++ b/scaledeal/lab/world/directory.py
@@ -1,7 +1,9 @@
 """Discovery: what it knows of the processes, how late, and the calls for it, handled in turn.
 
 A change shows after the drawn time for its kind, at discovery's next round. A call costs ``call`` and ``line`` for each
-line; it fails after ``patience`` of waiting, or at once while discovery is down. A watch waits for news.
+line; it fails after ``patience`` of waiting, or at once while discovery is down. A watch waits for news. Where the list
+is pushed, an agent on each relay's machine answers at once and at no cost with what has been sent to it; while discovery
+is down nothing new is sent, and what changed meanwhile is sent when it is back.
 """
 
 from __future__ import annotations
@@ -54,6 +56,8 @@
         self.lines = self.called = 0
         self._watching: list[tuple[int, Tell]] = []
         self._changed = False
+        self.pushed = day.discovery.mode == "pushed"
+        self._withheld: list[Entry] = []  # where it is pushed: changes while discovery is down
 
     def at_start(self, entries: list[Entry]) -> None:
         """Know these from the beginning."""
@@ -71,7 +75,7 @@
     def call(self, after: int | None, wait: int, tell: Tell) -> None:
         """Ask for the whole list, or for what is newer than a version, waiting so long for it."""
         self.called += 1
-        if self.down:
+        if self.down and not self.pushed:
             self.kernel.after(0, lambda: tell(None))
         elif after is None or after < self.index:
             self._answer(after, tell)
@@ -83,12 +87,19 @@
     def fail(self, on: bool) -> None:
         """Go down, with every watch, or come back."""
         self.down = on
-        if on:
+        if not on:
+            withheld, self._withheld = self._withheld, []
+            for entry in withheld:
+                self._show(entry)
+        elif not self.pushed:
             watching, self._watching = self._watching, []
             for _, tell in watching:
                 tell(None)
 
     def _show(self, entry: Entry) -> None:
+        if self.pushed and self.down:
+            self._withheld.append(entry)
+            return
         known = self.entries.get(entry.name)
         if known is not None and known.status == "left" and entry.since_ms <= known.since_ms:
             return  # guards against a drain that is told after the end
@@ -113,6 +124,10 @@
         entries = tuple(entry for name, entry in self.entries.items()
                         if (after is None and entry.status != "left")
                         or (after is not None and self.versions[name] > after))
+        if self.pushed:
+            answer = Answer(self.index, after is None, entries)
+            self.kernel.after(0, lambda: tell(answer))
+            return
         work = self.day.discovery.call + len(entries) * self.day.discovery.line
         self.lines += len(entries)
         answer = Answer(self.index, after is None, entries)
--- a/scaledeal/lab/world/fleet.py
+++ b/scaledeal/lab/world/fleet.py
@@ -131,7 +131,9 @@
 
     def entry(self, server: TileServer, status: str) -> Entry:
         """Return a server's line of the list."""
-        told = {"none": 1.0, "nominal": server.power, "rough": float(server.model.cores)}[self.day.servers.weights]
+        cores = float(server.model.cores)
+        told = {"none": 1.0, "nominal": server.power, "rough": cores,
+                "live": cores / (1 + len(server.held) / cores)}[self.day.servers.weights]
         since = EPOCH + server.started // MS if server.started else 0
         return Entry(server.name, self.address(server.name), self.day.zones[server.zone], server.model.name,
                      server.zone, status, told, float(since))
--- a/scaledeal/lab/world/server.py
+++ b/scaledeal/lab/world/server.py
@@ -65,6 +65,7 @@
     group: str
     load: float  # of a reference core
     draw: np.random.Generator
+    cell: int = 0  # class and tenant, as service is booked
     stands: bool = False
     silent: bool = False  # its messages are answered no more
     over: bool = False
@@ -89,13 +90,14 @@
         self.phase = int(draw.integers(0, self.period))
         self.held: dict[str, Held] = {}
         self.groups: dict[str, int] = {}
-        self.counts = [0] * len(day.classes)  # connections that stand, by class
+        self.counts = [0] * len(day.classes) * service.tenants  # connections that stand, by class and tenant
         self.told = 0.0  # loads of those that stand, in reference cores
         self.piled = 0.0  # seconds of its own work
         self.tills = Station(kernel, model.cores, patience=None)
         self.coming = 0.0  # set-up work that waits, in seconds of a reference core
         self.alive, self.draining, self.hung, self.reachable = True, False, False, True
         self.on_death: Callable[[bool], None] = lambda silently: None
+        self.given = 1.0  # share of the machine that it gets, times how fast that runs
         self.errors = 0.0  # share of set-ups that fail
         self.paused_until = 0
         self.errors_seen = 0
@@ -119,7 +121,7 @@
     def asked(self) -> float:
         """Return the load asked over what it can do now."""
         groups = self.day.servers.group_cost * self.mean_load * len(self.groups)
-        return (self.told + groups) / (self.power * self.warmth())
+        return (self.told + groups) / (self.power * self.warmth() * self.given)
 
     def stands_still(self) -> bool:
         """Tell whether it answers nothing at present."""
@@ -147,7 +149,7 @@
         else:
             work = _drawn(self.draw, self.day.servers.setup) / SECOND
             self.coming += work
-            took = work / (self.power / self.model.cores * self.warmth())
+            took = work / (self.power / self.model.cores * self.warmth() * self.given)
             self.tills.put(int(took * SECOND), lambda served: self._set_up(held, work, took))
 
     def stands_already(self, held: Held) -> None:
@@ -168,7 +170,8 @@
         place = bisect_right(self._past, (moment, math.inf, 0)) - 1
         _, asked, count = self._past[max(0, place)]
         noise = 1 + self.day.servers.report_noise * float(self.draw.standard_normal())
-        values = {"eps": float(self.errors_seen), "inflight": float(count), "x0": max(0.0, asked * noise)}
+        values = {"eps": float(self.errors_seen), "inflight": float(count), "x0": max(0.0, asked * noise),
+                  "queue": float(len(self.tills.waiting))}
         return tuple(values[name] for name in self.day.rules.report_fields)
 
     # What befalls it
@@ -218,7 +221,18 @@
         for held in self.held.values():
             if held.stands and not held.silent and self.draw.random() < part:
                 held.silent = True
-                self.counts[held.cls] -= 1
+                self.counts[held.cell] -= 1
+
+    def gets(self, times: float) -> None:
+        """Get so many times of the machine that it had: another program takes or leaves some, or it runs slower."""
+        self.touch()
+        self.given *= times
+        self._log()
+        self._look_soon()
+
+    def reports_late(self, span: int) -> None:
+        """Have reports come so much later, or earlier again."""
+        self.age += span
 
     # Inside
 
@@ -234,27 +248,29 @@
                 self._book(asked, (before + self.piled) / 2, span)
             self._seen = now
         while self.piled > self.day.servers.buffer.low / SECOND and self.counts_any() and not self.hung:
-            self._drop_heaviest()
+            self._shed()
 
     def counts_any(self) -> bool:
         """Tell whether any connection stands."""
         return any(held.stands for held in self.held.values())
 
     def _book(self, asked: float, piled: float, span: float) -> None:
-        for cls, count in enumerate(self.counts):
+        for cell, count in enumerate(self.counts):
             if count:
-                wanted = self.day.classes[cls].message / SECOND
+                wanted = self.day.classes[cell // self.service.tenants].message / SECOND
                 left = max(0.0, wanted - piled)
                 share = 1 - math.exp(-max(0.0, 1 - asked) * left / (self.day.servers.message * wanted))
                 if asked >= 1 and piled <= 0:
                     share = 0.0
-                self.service.earned(cls, self._seen, span, share * count)
+                self.service.earned(cell, self._seen, span, share * count)
 
-    def _drop_heaviest(self) -> None:
-        heaviest = max((held for held in self.held.values() if held.stands), key=lambda held: (held.load, held.id))
+    def _shed(self) -> None:
+        standing = [held for held in self.held.values() if held.stands]  # in the order in which they came
+        newest = self.day.servers.sheds == "newest"
+        one = standing[-1] if newest else max(standing, key=lambda held: (held.load, held.id))
         self.piled = max(0.0, self.piled - 0.1)
-        heaviest.seat.reset()
-        self._drop(heaviest)
+        one.seat.reset()
+        self._drop(one)
 
     def _full(self) -> bool:
         crowded = self.model.cap and len(self.held) > self.model.cap
@@ -284,7 +300,7 @@
     def _stand(self, held: Held) -> None:
         self.touch()
         held.stands = True
-        self.counts[held.cls] += 1
+        self.counts[held.cell] += 1
         self.told += held.load
         if held.group:
             self.groups[held.group] = self.groups.get(held.group, 0) + 1
@@ -321,7 +337,7 @@
         self.held.pop(held.id, None)
         self.witness.ended(held.id, self.name, self.kernel.now)
         if held.stands:
-            self.counts[held.cls] -= not held.silent
+            self.counts[held.cell] -= not held.silent
             self.told = max(0.0, self.told - held.load)
             if held.group:
                 self.groups[held.group] -= 1
--- a/scaledeal/lab/world/troubles.py
+++ b/scaledeal/lab/world/troubles.py
@@ -176,6 +176,32 @@
     _in_steps(fleet, _relays(fleet, trouble, draw), lasts, fleet.host.reload)
 
 
+def _slow(fleet: Fleet, trouble: Trouble, draw: np.random.Generator, lasts: int) -> None:
+    for server in _some(fleet, trouble, draw):
+        server.gets(1 / trouble.size)
+        fleet.kernel.after(lasts, lambda server=server: server.gets(trouble.size))  # type: ignore[misc]
+
+
+def _neighbour(fleet: Fleet, trouble: Trouble, draw: np.random.Generator, lasts: int) -> None:
+    """Have another program take ``size`` of some machines, on for a period and off for the next."""
+    end = fleet.kernel.now + lasts
+
+    def turn(server: TileServer, on: bool) -> None:
+        if on or fleet.kernel.now < end:
+            server.gets(1 / (1 - trouble.size) if on else 1 - trouble.size)
+            fleet.kernel.after(int(_drawn(draw, trouble.period)), lambda: turn(server, not on))
+
+    for server in _some(fleet, trouble, draw):
+        fleet.kernel.after(int(draw.random() * trouble.period.low), lambda server=server: turn(server, False))  # type: ignore[misc]
+
+
+def _report_late(fleet: Fleet, trouble: Trouble, draw: np.random.Generator, lasts: int) -> None:
+    late = int(trouble.size * SECOND)
+    for server in list(fleet.servers.values()):
+        server.reports_late(late)
+        fleet.kernel.after(lasts, lambda server=server: server.reports_late(-late))  # type: ignore[misc]
+
+
 def _discovery_down(fleet: Fleet, trouble: Trouble, draw: np.random.Generator, lasts: int) -> None:
     fleet.directory.fail(True)
     fleet.kernel.after(lasts, lambda: fleet.directory.fail(False))
@@ -191,4 +217,5 @@
     "stale_roster": _stale_roster, "silent_streams": _silent_streams, "crash": _crash, "zone_lost": _zone_lost,
     "zone_cut": _zone_cut, "resets": _resets, "slow_store": _slow_store, "crowd": _crowd, "relay_kill": _relay_kill,
     "relay_restart": _relay_restart, "upgrade": _upgrade, "reload": _reload, "discovery_down": _discovery_down,
+    "slow": _slow, "neighbour": _neighbour, "report_late": _report_late,
 }
--- a/tests/lab_small.py
+++ b/tests/lab_small.py
@@ -13,7 +13,9 @@
     "silent_streams": "part = 0.2", "crash": 'lasts = "1s"\n  part = 0.4', "zone_lost": 'lasts = "1s"\n  zone = 1',
     "zone_cut": 'lasts = "1500ms"\n  zone = 0', "resets": 'lasts = "2s"\n  part = 0.3\n  period = "300ms"',
     "slow_store": 'lasts = "2s"\n  size = 8', "crowd": 'lasts = "2s"\n  size = 6', "relay_kill": "part = 0.5",
-    "relay_restart": 'lasts = "1s"', "upgrade": 'lasts = "1s"', "reload": "part = 1", "discovery_down": 'lasts = "2s"'}
+    "relay_restart": 'lasts = "1s"', "upgrade": 'lasts = "1s"', "reload": "part = 1", "discovery_down": 'lasts = "2s"',
+    "slow": 'lasts = "2s"\n  part = 0.4\n  size = 6', "report_late": 'lasts = "2s"\n  size = 2',
+    "neighbour": 'lasts = "3s"\n  part = 0.5\n  size = 0.6\n  period = "500ms"'}
 
 SMALL = '''title = "small"
 seconds = "{seconds}s"
--- a/tests/test_lab_days.py
+++ b/tests/test_lab_days.py
@@ -18,9 +18,11 @@
 from scaledeal.lab.runs import Job, Variant, play
 from scaledeal.lab.runs.play import module_from
 from scaledeal.lab.scenario import load, ready
+from scaledeal.lab.scenario.reading import load_text
 from scaledeal.lab.scenario.types import Scenario
-from scaledeal.lab.truth import BrokenRuleError, Violation
-from scaledeal.lab.world.fleet import Fleet
+from scaledeal.lab.truth import BrokenRuleError, Service, Violation
+from scaledeal.lab.world.fleet import SECOND, Fleet
+from scaledeal.lab.world.troubles import begin
 from scaledeal.policy import Balancer
 
 HOSTS = {"module": ModuleHost, "relay": RelayHost}
@@ -162,7 +164,72 @@
     assert apart < 0.08, scores
 
 
+@pytest.mark.parametrize("host", HOSTS)
+@pytest.mark.parametrize("site", ["padova", "lagos-saturday"])
+def test_both_deployments_keep_their_rules_and_serve_every_class_and_tenant(site: str, host: str):
+    played = run(load(site), host)
+    assert played.broken is None, played.broken
+    result = played.fleet.service.result()
+    named = {each.name for each in played.fleet.day.tenant}
+    assert set(result["tenants"]) == named and len(named) == (2 if site != "padova" else 0)
+    assert min([*result["classes"].values(), *result["tenants"].values()]) > 0.6, result
+
+
+def test_a_pushed_list_is_told_at_once_and_withheld_while_discovery_is_down():
+    fleet = Fleet(load_text(text(), 'discovery {\n  mode = "pushed"\n  call = "1s"\n}\n'), 1)
+    told: list[tuple[int, object]] = []
+    directory, server = fleet.directory, fleet.live()[0]
+    directory.call(None, 0, lambda answer: told.append((fleet.kernel.now, answer)))
+    fleet.kernel.run(0)
+    assert [at for at, _ in told] == [0], "an agent answers at once, whatever a call costs the service"
+    directory.call(directory.index, 60 * SECOND, lambda answer: told.append((fleet.kernel.now, answer)))
+    directory.fail(True)
+    fleet.drain_server(server)
+    fleet.kernel.run(2 * SECOND)
+    assert len(told) == 1, "an agent says nothing while discovery is down, and ends no watch"
+    directory.fail(False)
+    fleet.kernel.run(2 * SECOND)
+    assert len(told) == 2 and server.name in {entry.name for entry in told[1][1].entries}  # type: ignore[attr-defined]
+
+
+def test_what_a_tenant_asks_beyond_its_quota_is_worth_less():
+    scenario = load_text(text(), 'clients {\n  over_worth = 0.1\n}\ntenant "large" {\n  quota = 0.5\n}\n'
+                                 'tenant "small" {\n  quota = 0.5\n}\n')
+    service = Service(scenario)
+    service.quotas = (2.0, 2.0)
+    for tenant, connections in ((0, 4), (1, 1)):  # cells of the first class
+        for _ in range(connections):
+            service.wants(tenant, 0, 4 * SECOND)
+        service.earned(tenant, 0, 4.0, connections * (0.5 if tenant == 0 else 1.0))
+    # Of four connections half a unit each is served; two of four are within the quota: worth 0.55 of one each.
+    result = service.result()
+    assert result["tenants"] == {"large": 0.5, "small": 1.0}
+    assert result["whole"] == pytest.approx((4 * 0.55 * 0.5 + 1) / (4 * 0.55 + 1), abs=1e-3)
+
+
+def test_a_neighbour_takes_its_share_on_and_off_and_gives_all_of_it_back():
+    fleet = Fleet(day(troubles=("neighbour",), seconds=8), 1)
+    begin(fleet)
+    seen: list[float] = []
+    for at in range(0, 8 * SECOND, SECOND // 10):
+        fleet.kernel.run(at)
+        seen += [server.given for server in fleet.live()]
+    assert {round(each, 6) for each in seen} == {1.0, 0.4}, set(seen)
+    assert {round(server.given, 6) for server in fleet.live()} == {1.0}, "all of the machine is back at the end"
+
+
+@pytest.mark.parametrize(("over", "wrong"), [
+    ("goal {\n  whole = 0.9\n}\n", "must come to 1"),
+    ("goal {\n  whole = 0.4\n  worst_tenant = 0.1\n}\n", "without tenants"),
+    ('trouble "neighbour" {\n  at = "1s"\n  size = 1\n}\n', "share of the machine"),
+    ('trouble "slow" {\n  at = "1s"\n  size = 1\n}\n', "times slower"),
+    ('rules {\n  report_fields = ["x1"]\n}\n', "report_fields")])
+def test_what_a_scenario_of_the_second_deployment_can_have_wrong_is_told(over: str, wrong: str):
+    with pytest.raises(FileError, match=wrong):
+        load_text(text(), over)
+
+
 def test_every_ready_scenario_can_be_read():
-    assert len(ready()) >= 14
+    assert len(ready()) >= 17
     for name in ready():
         assert msgspec.structs.asdict(load(name))["classes"], name
