--- a/scaledeal/lab/world/directory.py
+++ b/scaledeal/lab/world/directory.py
@@ -2,8 +2,8 @@
 
 A change shows after the drawn time for its kind, at discovery's next round. A call costs ``call`` and ``line`` for each
 line; it fails after ``patience`` of waiting, or at once while discovery is down. A watch waits for news. Where the list
-is pushed, an agent on each relay's machine answers at once and at no cost with what has been sent to it; while discovery
-is down nothing new is sent, and what changed meanwhile is sent when it is back.
+is pushed, an agent on each relay's machine answers at once and at no cost with what has been sent to it; while
+discovery is down nothing new is sent, and what changed meanwhile is sent when it is back.
 """
 
 from __future__ import annotations
