--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -203,7 +203,7 @@
     def _install(self, now: int, charges: list[float]) -> None:
         # Guards against a class shut out because none of it had come when the ladder first moved.
         least = sum(self.estimate.values()) / len(self.worths) or LEAST_RATE
-        rates = {c: max(estimate, least) for c, estimate in self.estimate.items()}
+        rates = {c: max(rate, LEAST_RATE if c[1] else least) for c, rate in self.estimate.items()}
         wanted = {c: rate * charges[c[0]] for c, rate in rates.items()}
         budget = (1 - self.rung / (RUNGS - 1)) * sum(wanted.values())
         low, high = 0.0, 1.0
