--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -33,7 +33,7 @@
 # Placement
 TURNS = 3.0  # turns at most for each one used where a turn is less than a connection: most of those lapse
 STAY_UNDER = 0.7  # utilisation up to which a group keeps to its first server, or is moved to another
-BOUND = 1.25  # multiple of the mean utilisation up to which it does where the mean is high
+BOUND = 1.25  # multiple of the mean up to which it does where that is high and no newcomer has room
 FULL = 0.9  # utilisation up to which servers share what comes by the room they have
 STAY_RATIO = 1.5  # without reports: the multiple of the mean load up to which it does
 KEEP_UNDER = 0.9  # without reports: share of the load at which a server turned slow that groups fill it to
@@ -267,7 +267,7 @@
         self.retries, self.probes = RETRY_BURST, PROBE_BURST * settings.may_probe  # what may be sent now
         self.window = self.least_window = 0.0
         self.step_at = self.watch_at = self.watch_failures = 0
-        self.unit = 0.0  # learned capacity of a server of weight 1, in units of load: the mean of all
+        self.bound, self.unit = STAY_UNDER, 0.0  # of a group's server; capacity of weight 1, in units of load
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event and return the actions it calls for."""
@@ -507,7 +507,7 @@
     def _crowded(self, server: Server, key: str, mean: float) -> bool:
         asked = self.utilisation(server)
         if asked is not None and (asked > STAY_UNDER or self.unit):
-            return asked > max(STAY_UNDER, BOUND * self.ladder.last_index / 100)
+            return asked > self.bound
         load = self._own_load(server)
         full = 0 < KEEP_UNDER * server.limit < load
         # Guards against a gateway just started that fills one server with a group before it has a report.
@@ -698,10 +698,9 @@
             self.out.append(api.Cancel(flight.id, len(flight.attempts) - 1))
 
     def _adopt(self, event: api.OpenConnection) -> None:
-        server = self.servers.get(event.server)
         if event.request in self.flights:
             return
-        if server is None:
+        if (server := self.servers.get(event.server)) is None:
             server = self._meet(event.server)
             server.state = api.ServerState.GONE
         self.adopted |= not event.inherited
@@ -737,8 +736,10 @@
         for server in self.known.values():
             server.past = [*server.past[1 - REPORT_AGE:], self._own_load(server)]
         if self.probes >= 1 + PROBE_KEPT:
-            due = [s for s in self.live if s.probe_at <= self.now]
-            self._probe(sorted(due, key=lambda s: s.probe_at), PROBE_KEPT)
+            due = sorted((s for s in self.live if s.probe_at <= self.now), key=lambda s: s.probe_at)
+            self._probe(due, PROBE_KEPT)
+        high = 0.0 if any(map(self.cold, self.live)) else BOUND * self.ladder.last_index / 100
+        self.bound = max(STAY_UNDER, high)
         self._sample()
         self._empty()
         self._move()
