Open a silent watch on discovery anew before what it missed counts as told

Going on with a watch costs nothing (2.5 times the calls at the same price), so waits may be short. Ruled out for these cases: late connects, retries, held requests.

--- a/scaledeal/net/farm.py
+++ b/scaledeal/net/farm.py
@@ -12,38 +12,42 @@
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 
 from scaledeal import interface as api
-from scaledeal.net.ports import Reactor
+from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.roster import Calendar, Roster, entries
+from scaledeal.net.vigil import BODY, Vigil
 
 log = logging.getLogger("scaledeal.farm")
 
-WAIT_MS = 10_000  # how long discovery may wait for news
-GRACE = 4.0  # seconds beyond that after which a call counts as failed
-
 Tell = Callable[[api.Membership, dict[str, str]], None]
 
 
 class Farm:
-    """One watch at a time; a failure ends it, and is told as LOST.
+    """One watch at a time, which begins with a call that doesn't wait.
 
+    A watch that falls silent is opened anew at once. Any other failure ends it: it is told as LOST and made good when
+    the decision module says so, but for an agent on this machine, which is asked again and again at no cost.
     A farm speaks with one discovery. Another discovery is another farm: its versions are counted on its own.
     """
 
     def __init__(self, reactor: Reactor, host: str, port: int, zones: tuple[str, ...], calendar: Calendar,
-                 tell: Tell) -> None:
+                 tell: Tell, vigil: Vigil) -> None:
         self.reactor = reactor
         self.base = f"http://{host}:{port}/catalog/members"
         self.zones = zones
         self.calendar = calendar
         self.tell = tell
+        self.vigil = vigil
         self.index: int | None = None  # version of the list held; none before the whole list has come
         self.watching = False
         self.closed = False
         self.pool = HTTPConnectionPool(reactor, persistent=True)
-        self.pool.retryAutomatically = False  # the decision module says when a failed call is made again
+        self.pool.retryAutomatically = False  # a failed call is made again here, or where the decision module says so
         self.pool.maxPersistentPerHost = 1
         self.agent: Any = Agent(reactor, connectTimeout=2.0, pool=self.pool)
         self.asked: Deferred[Any] | None = None  # the call that is out
+        self.waits = 0.0  # seconds that it may wait for news
+        self.begun = False  # whether its answer has begun
+        self.timer: Timer | None = None  # ends the call that is out, or begins the next one of an agent
 
     def start_with(self, known: Roster, whole: bool) -> None:
         """Tell the list as it was last held, and go on from there or ask for the whole of it."""
@@ -54,31 +58,45 @@
         """Ask for changes from here on, until a call fails; for the whole list where none is held yet."""
         if not self.watching and not self.closed:
             self.watching = True
-            self._call()
+            self._call(0.0)
 
     def close(self) -> None:
         """End the watch for good; a late answer or failure of it touches nothing."""
         self.closed = True
+        self._stop_timer()
         if self.asked is not None:
             self.asked.cancel()
         self.pool.closeCachedConnections()
 
-    def _call(self) -> None:
-        query = "" if self.index is None else f"?after={self.index}&wait_ms={WAIT_MS}"
+    def _call(self, waits: float) -> None:
+        self.waits, self.begun = waits, False
+        query = "" if self.index is None else f"?after={self.index}&wait_ms={int(waits * 1000)}"
         asked: Deferred[Any] = self.agent.request(b"GET", (self.base + query).encode())
         self.asked = asked
-        asked.addCallback(self._read)
-        asked.addTimeout(WAIT_MS / 1000 + GRACE, self.reactor)  # type: ignore[arg-type]
+        self._give_up_after(self.vigil.patience(waits), asked)
+        asked.addCallback(self._read, asked)
         asked.addCallbacks(self._answered, self._failed)
         asked.addErrback(lambda failure: log.error("farm list could not be told: %s", failure.getTraceback()))
 
-    def _read(self, response: Any) -> Deferred[bytes]:
+    def _give_up_after(self, patience: float, asked: Deferred[Any]) -> None:
+        self._stop_timer()
+        self.timer = self.reactor.callLater(patience, asked.cancel)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+    def _read(self, response: Any, asked: Deferred[Any]) -> Deferred[bytes]:
+        # Guards against an answer that never ends: it may hold news, which counts as told from when it is written.
+        self._give_up_after(BODY, asked)
+        self.begun = True
         body: Deferred[bytes] = readBody(response)
         if response.code != 200:
             body.addCallback(lambda _: _refused(response.code))
         return body
 
     def _answered(self, body: bytes) -> None:
+        self._stop_timer()
         if self.closed:  # guards against the list of a discovery that another has taken over from
             return
         try:
@@ -90,23 +108,47 @@
             # Guards against changes that no longer follow on from the list held here.
             log.warning("farm list went back from %d to %d: asking for all of it", self.index, roster.index)
             self.index = None
-            self._call()
+            self._call(0.0)
             return
         self.index = roster.index
+        if self.vigil.missed:
+            log.info("farm list is told again")
+        self.vigil.answered()
         # The next call goes out before the list is told: a watch goes on only if it comes within 200 ms.
-        self._call()
+        self._call(self.vigil.wait())
         self._tell(api.MembershipKind.FULL if roster.snapshot else api.MembershipKind.CHANGES, roster)
 
     def _failed(self, failure: Failure) -> None:
-        self._lost(failure.getErrorMessage() or repr(failure.value))
+        silent = self.timer is not None and not self.timer.active()
+        self._stop_timer()
+        why = self._missed() if silent else failure.getErrorMessage() or repr(failure.value)
+        if silent and self.waits and not self.closed:
+            # Guards against news that counts as told though it never came: the module would wait before it asks
+            # again, and so long a watch that has fallen silent does not let it.
+            log.warning("farm watch fell silent: %s; opened anew", why)
+            self._call(0.0)
+        else:
+            self._lost(why)
+
+    def _missed(self) -> str:
+        if self.begun:
+            return f"an answer did not end within {BODY:.1f} s"
+        late = self.vigil.patience(self.waits) - self.waits
+        return f"no answer {late:.1f} s after " + (f"a wait of {self.waits:.1f} s" if self.waits else "the call")
 
     def _lost(self, why: str) -> None:
-        self.watching = False
         self.asked = None
         if self.closed:
-            return
-        log.warning("farm list lost: %s", why)
-        self.tell(api.Membership(api.MembershipKind.LOST), {})
+            self.watching = False
+        elif self.vigil.pushed:
+            # Guards against a list that counts as told once the agent is back: it is asked again all the while.
+            if not self.vigil.missed:
+                log.warning("farm list lost: %s; the agent is asked again until it answers", why)
+            self.timer = self.reactor.callLater(self.vigil.pause(), self._call, 0.0)
+        else:
+            self.watching = False
+            log.warning("farm list lost: %s", why)
+            self.tell(api.Membership(api.MembershipKind.LOST), {})
 
     def _tell(self, kind: api.MembershipKind, roster: Roster) -> None:
         addresses = {each.name: each.address for each in roster.endpoints if each.address}
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import socket
+from random import Random
 from typing import Any, cast
 
 from twisted.internet.error import CannotListenError
@@ -31,6 +32,7 @@
 from scaledeal.net.succession import Succession
 from scaledeal.net.trace import open_trace
 from scaledeal.net.user_agent import Reception
+from scaledeal.net.vigil import Vigil
 from scaledeal.net.wording import report_reader
 
 log = logging.getLogger("scaledeal.relay")
@@ -179,7 +181,13 @@
     def _farm(self) -> Farm:
         where = self.config.discovery
         return Farm(self.reactor, where.host, where.port, self.config.document.failure_domains, self.calendar,
-                    self._listed)
+                    self._listed, self._vigil())
+
+    def _vigil(self) -> Vigil:
+        settings, rules = self.config.settings, self.config.document.rules
+        # Guards against relays in step that were told no number: the seed sets them apart as well.
+        place = settings.me / settings.siblings if settings.siblings > 1 else Random(self.config.seed).random()
+        return Vigil(not settings.ask_discovery, rules.ask_within / 1e9, rules.drain_grace / 1e9, place)
 
     # A new configuration
 
--- a/scaledeal/settings.py
+++ b/scaledeal/settings.py
@@ -79,6 +79,8 @@
     overload_factor: float = 1.0
     fall: float = 0.0
     answer_slack: float = 0.0
+    ask_within: float = 10e9
+    drain_grace: float = 1e9
 
 
 class Specifics(_Section, frozen=True):
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -19,6 +19,7 @@
 from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.lobby import SUMMARY, most_descriptors
 from scaledeal.net.roster import Calendar, Endpoint, Roster, entries
+from scaledeal.net.vigil import Vigil
 
 OPEN = b"OPEN 9b1f 7f3a c=browse,d=800,g=5c0f\r\n"
 
@@ -452,7 +453,8 @@
 
 def a_farm() -> tuple[farm.Farm, list[api.MembershipKind]]:
     told: list[api.MembershipKind] = []
-    made = farm.Farm(Clock(), "127.0.0.1", 1, (), Calendar(0, 0), lambda event, _: told.append(event.kind))
+    made = farm.Farm(Clock(), "127.0.0.1", 1, (), Calendar(0, 0), lambda event, _: told.append(event.kind),
+                     Vigil(False, 10.0, 1.0, 0.0))
     made.agent = Calls()
     return made, told
 
@@ -479,5 +481,5 @@
     watch.agent.out[0][1].errback(ConnectionError("refused"))
     watch.watch()
     watch.agent.out[1][1].callback(SimpleNamespace(code=200, body=b'{"index":9,"endpoints":[]}'))
-    assert [url.partition("members")[2] for url, _ in watch.agent.out] == ["", "", "?after=9&wait_ms=10000"]
+    assert [url.partition("members")[2] for url, _ in watch.agent.out] == ["", "", "?after=9&wait_ms=10180"]
     assert told == [api.MembershipKind.LOST, api.MembershipKind.FULL]
