Count probe connections against the descriptors, and have them give way to clients

Need: lists of hundreds of servers.

Change: the lobby counts what probes hold beyond 16; they may hold half of what no client needs, the longest unused is closed for a new one, and all but 16 idle ones go before a client is turned away.

The test fails without the bound, without the counting and without the giving way.

Ruled out as caps: the backlog (1,024), the hand-over (one word a connection), lists (none).

--- a/scaledeal/net/health_probe.py
+++ b/scaledeal/net/health_probe.py
@@ -79,6 +79,14 @@
         self._drop()
         self.over(self.server)
 
+    def give_back(self) -> bool:
+        """Close the connection if no answer is due on it, and tell whether there was such a one."""
+        if self.link is None or self.began:
+            return False
+        self._stop_timer()
+        self._unused()
+        return True
+
     def _drop(self) -> None:
         """Close the connection; nothing more of it is heard."""
         link, self.link = self.link, None
@@ -125,17 +133,33 @@
 class HealthProbes:
     """The health probes of all application servers."""
 
-    def __init__(self, trade: Trade, idle: int, tell: Report) -> None:
+    def __init__(self, trade: Trade, idle: int, tell: Report, room: Callable[[], int] = lambda: 1 << 20) -> None:
+        """``room`` tells how many connections may be held for probes now."""
         self.trade = trade
         self.idle = idle / SECOND
         self.tell = tell
-        self.probes: dict[str, HealthProbe] = {}
+        self.room = room
+        self.probes: dict[str, HealthProbe] = {}  # the one that was used last stands last
 
     def probe(self, server: str, address: str) -> None:
         """Probe once; exactly one result is reported."""
-        if server not in self.probes:
-            self.probes[server] = HealthProbe(self.trade, server, self.idle, self.tell, self.forget)
-        self.probes[server].probe(address)
+        probe = self.probes.pop(server, None) or HealthProbe(self.trade, server, self.idle, self.tell, self.forget)
+        self.probes[server] = probe
+        if probe.link is None:
+            self.give_back(self.room() - 1)
+        probe.probe(address)
+
+    def held(self) -> int:
+        """Return how many connections are held."""
+        return sum(each.link is not None for each in self.probes.values())
+
+    def give_back(self, most: int) -> None:
+        """Close connections on which no answer is due, the longest unused first, until at most so many are held."""
+        over = self.held() - most
+        for each in list(self.probes.values()):
+            if over <= 0:
+                break
+            over -= each.give_back()
 
     def forget(self, server: str) -> None:
         """Drop what was kept for a server that is no longer probed."""
--- a/scaledeal/net/lobby.py
+++ b/scaledeal/net/lobby.py
@@ -18,6 +18,7 @@
 log = logging.getLogger("scaledeal.lobby")
 
 OWN = 58  # descriptors for the listeners, the log, discovery, the health probes, operators and those below
+PROBES = 16  # of these, for health probes; what those hold beyond is counted, and given back when a client comes
 CLOSING = 16  # of these, for guests that were told to go and are not closed yet; clients taken in one go
 LOBBY_SHARE = 5  # the lobby is kept to this part of all descriptors, as far as that is fair
 FAIR = 0.25  # seconds that a newcomer gets to ask before it has to give way
@@ -51,11 +52,15 @@
         self.writers: dict[Guest, None] = {}  # who has begun to ask; who wrote last stands last
         self.going: set[Guest] = set()  # who was told to go
         self.asked = 0  # clients with a request or a connection that stands
+        self.probing: Callable[[], int] = lambda: 0  # how many connections health probes hold
+        self.end_probes: Callable[[int], None] = lambda most: None  # has them hold at most so many
         self.turned_away: Counter[str] = Counter()
         self._timer: Timer | None = None
 
     def room(self) -> bool:
         """Make room for one more client; False if there is no descriptor for it."""
+        if self._full() and self._probing():
+            self.end_probes(PROBES)
         # Guards against hundreds of silent connections taking the descriptors of those who ask.
         while (self.guests or self.writers) and (self._full() or self._crowded()):
             oldest = next(iter(self.guests or self.writers))
@@ -103,7 +108,12 @@
 
     def spare(self) -> int:
         """Return how many descriptors stay free if nobody new comes and all guests ask."""
-        return max(0, self.most - OWN - self._going() - 2 * (self.present() + self.asked))
+        return max(0, self.most - OWN - self._going() - self._probing() - 2 * (self.present() + self.asked))
+
+    def for_probes(self) -> int:
+        """Return how many connections health probes may hold: their own, and half of what no client needs."""
+        # Guards against a list of hundreds of servers whose probe connections, kept a while, pass the limit.
+        return PROBES + max(0, self.most - self.lent - OWN - self._going() - 2 * (self.present() + self.asked)) // 2
 
     def present(self) -> int:
         """Return how many are in the lobby."""
@@ -112,8 +122,11 @@
     def _going(self) -> int:
         return max(0, len(self.going) - CLOSING)
 
+    def _probing(self) -> int:
+        return max(0, self.probing() - PROBES)
+
     def _full(self) -> bool:
-        held = self.present() + 1 + self._going() + 2 * self.asked + OWN
+        held = self.present() + 1 + self._going() + 2 * self.asked + OWN + self._probing()
         return held > self.most - self.lent
 
     def _crowded(self) -> bool:
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -60,13 +60,15 @@
         pool = BufferPool()
         trade = Trade(reactor, pool, self.driver.now, report_reader(document.report.fields),
                       int(document.caps.dial_timeout))
-        self.driver.prober = HealthProbes(trade, int(document.caps.idle_close), self.driver.post)
         self.calendar = Calendar(self.grounds.monotonic(), self.grounds.unix())
         self.farm = self._farm()
         self.driver.watch = lambda: self.farm.watch()
         classes = {entry.name: number for number, entry in enumerate(document.classes)}
         tenants = {entry.name or str(number): number for number, entry in enumerate(document.accounts)}
         lobby = Lobby(reactor, most_descriptors(config.sockets), self.driver.now)
+        self.driver.prober = probes = HealthProbes(trade, int(document.caps.idle_close), self.driver.post,
+                                                   lobby.for_probes)
+        lobby.probing, lobby.end_probes = probes.held, probes.give_back
         self.door = Door(Reception(trade, classes, tenants, lobby, self.driver.take,
                                    lambda: self.service.stage is not Stage.LAME_DUCK))
         self.port: Port | None = None
--- a/tests/netfakes.py
+++ b/tests/netfakes.py
@@ -212,9 +212,10 @@
         self.driver.balancer = self.module  # type: ignore[assignment]
         trade = Trade(self.reactor, self.pool, self.driver.now, report_reader(("fail_rate", "rif", "x0")),
                       250 * MS)
-        self.probes = HealthProbes(trade, 5000 * MS, self.driver.post)
-        self.driver.prober = self.probes
         self.lobby = Lobby(self.reactor, 256, self.driver.now)
+        self.probes = HealthProbes(trade, 5000 * MS, self.driver.post, self.lobby.for_probes)
+        self.lobby.probing, self.lobby.end_probes = self.probes.held, self.probes.give_back
+        self.driver.prober = self.probes
         self.service = Service(self.driver)
         self.reception = Reception(trade, {"browse": 0}, {"acme": 0}, self.lobby, self.driver.take,
                                    lambda: self.service.stage is not Stage.LAME_DUCK)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -17,7 +17,7 @@
 from scaledeal.net.delays import Delays
 from scaledeal.net.lines import DISCARDED, LINGER, STALL, LineLink
 from scaledeal.net.load_lines import LoadLines
-from scaledeal.net.lobby import SUMMARY, most_descriptors
+from scaledeal.net.lobby import CLOSING, OWN, PROBES, SUMMARY, most_descriptors
 from scaledeal.net.roster import Calendar, Endpoint, Roster, entries
 from scaledeal.net.vigil import Vigil
 
@@ -483,3 +483,22 @@
     watch.agent.out[1][1].callback(SimpleNamespace(code=200, body=b'{"index":9,"endpoints":[]}'))
     assert [url.partition("members")[2] for url, _ in watch.agent.out] == ["", "", "?after=9&wait_ms=10180"]
     assert told == [api.MembershipKind.LOST, api.MembershipKind.FULL]
+
+
+def test_probes_of_hundreds_of_servers_leave_the_descriptors_to_clients():
+    # Guards against a probe connection kept to each of 1,024 servers: they were counted as a fixed few.
+    bench = Bench()
+    for number in range(1024):
+        bench.probes.probe(f"s{number}", f"127.0.0.1:{number + 1}")
+        bench.reactor.dialled[-1].up(bench.reactor).receive(b"PONG\r\n")
+        bench.reactor.advance(0)
+    held = [wire for wire in bench.wires() if not wire.lost]
+    assert len(held) == bench.probes.held() <= PROBES + (256 - OWN) // 2
+    clients = 0
+    while (client := bench.knock()) is not None:
+        clients += 1
+        client.receive(OPEN.replace(b"9b1f", b"%x" % clients))
+        held = [wire for wire in bench.reactor.up if not wire.lost and not wire.closing]
+        assert OWN - PROBES + len(held) + clients <= 256 + CLOSING, f"{clients} clients, each with its proxy pass"
+    assert clients == (256 - OWN) // 2, "all that there is room for"
+    assert bench.probes.held() <= PROBES, "clients had to go for idle probes"
