--- a/scaledeal/net/vigil.py
+++ b/scaledeal/net/vigil.py
@@ -16,8 +16,10 @@
 BODY = 1.0  # seconds that an answer which has begun may take to its end
 AGENT_WAITS = 1.0, 2.0  # seconds that an agent on this machine is asked to wait: it answers at no cost
 AGENT_ROUND = 0.8  # share of the drain window in which an agent that fails or is silent is asked once more
+AGENT_LEAST = 0.1  # seconds of such a round at least, where the settings leave no window
 AGENT_PAUSE = 0.25  # share of that round that passes between two calls
 AGENT_SLOW = 5  # every so many such calls, one is given longer: the agent may be slow, not silent
+LONGEST = 60.0  # seconds that a call may wait at most, by the protocol
 GOLDEN = 0.6180339887498949  # turns by so much fall evenly, however many there are
 
 
@@ -44,7 +46,7 @@
         if self.pushed:
             least, most = AGENT_WAITS
             return least + (most - least) * self.turn
-        return SILENT_TOLD - WAIT_TOLD + self.ask_within * self.turn
+        return min(LONGEST, SILENT_TOLD - WAIT_TOLD + self.ask_within * self.turn)
 
     def patience(self, wait: float) -> float:
         """Return how long after its start a call that waits so long is taken for silent."""
@@ -65,4 +67,5 @@
         self.missed = 0
 
     def _round(self) -> float:
-        return AGENT_ROUND * min(BODY, self.grace)
+        # Guards against an agent asked without a pause, and given up at once, where no window is stated.
+        return max(AGENT_LEAST, AGENT_ROUND * min(BODY, self.grace))
--- a/tests/test_vigil.py
+++ b/tests/test_vigil.py
@@ -175,3 +175,10 @@
     fleet.run(3)
     assert why in caplog.text
     assert watch.index == 2 and 0 in fleet.late
+
+
+def test_settings_without_a_window_or_with_a_long_span_give_calls_that_can_be_answered():
+    # Guards against an agent that is asked without a pause, and against waits that discovery does not take.
+    agent = Vigil(True, 0.0, 0.0, 0.0)
+    assert agent.patience(0.0) > 0.05 and agent.pause() > 0.02
+    assert max(Vigil(False, 600.0, 1.0, place / 9).wait() for place in range(9)) == 60.0
