--- a/scaledeal/lab/hosts/relay/host.py
+++ b/scaledeal/lab/hosts/relay/host.py
@@ -22,11 +22,11 @@
 from scaledeal.lab.world.fleet import EPOCH, Door, Fleet
 from scaledeal.lab.world.server import TileServer
 from scaledeal.net.config import Address, Config
-from scaledeal.net.grounds import Grounds
 from scaledeal.net.ports import Port, Reactor
 from scaledeal.net.relay import Relay
 from scaledeal.net.roster import Endpoint, Roster
 from scaledeal.net.service import Stage
+from scaledeal.net.system import System
 from scaledeal.policy import Balancer
 
 MS = 1_000_000
@@ -38,7 +38,7 @@
        b"PING\r\n" * 400, b"\xff\xfe\r\n")
 
 
-class SimGrounds(Grounds):
+class SimSystem(System):
     """The clocks and listening sockets of one simulated relay."""
 
     def __init__(self, fleet: Fleet, reactor: SimReactor) -> None:
@@ -99,8 +99,8 @@
         self.host.net.kill(self.machine)
 
     def _begin(self) -> None:
-        grounds = SimGrounds(self.host.fleet, self.reactor)
-        self.relay = Relay(cast(Reactor, self.reactor), self.host.config(self), grounds)
+        system = SimSystem(self.host.fleet, self.reactor)
+        self.relay = Relay(cast(Reactor, self.reactor), self.host.config(self), system)
         if self.host.factory is not Balancer:
             config = self.relay.config
             self.relay.driver.balancer = self.host.factory(config.settings, config.seed)
@@ -351,7 +351,7 @@
         fleet.witness.owns(name, "descriptors", max(0, left), fleet.kernel.now)
         fleet.witness.owns(name, "transactions", len(relay.driver.transactions), fleet.kernel.now)
         fleet.witness.owns(name, "flights", len(relay.driver.balancer.flights), fleet.kernel.now)
-        fleet.witness.owns(name, "buffers", relay.door.reception.trade.pool.out, fleet.kernel.now)
+        fleet.witness.owns(name, "buffers", relay.door.reception.context.pool.out, fleet.kernel.now)
 
 
 @contextlib.contextmanager
--- a/scaledeal/net/lobby.py
+++ b/scaledeal/net/admission.py
@@ -1,7 +1,7 @@
-"""The one owner of the relay's descriptors: which clients without a request may stay, and for how long.
+"""Admission, the one owner of the relay's descriptors: which clients without a request may stay, and for how long.
 
-A client with a request needs two descriptors, its own and its proxy pass's. Whoever has not asked yet, or
-was turned away and has not closed, is in the lobby: it gets what is left; when that is too little, the oldest
+A client with a request needs two descriptors, its own and its attempt's. Whoever has not asked yet, or
+was turned away and has not closed, is idle: it gets what is left; when that is too little, the oldest
 has to go.
 """
 
@@ -15,19 +15,19 @@
 
 from scaledeal.net.ports import Reactor, Timer
 
-log = logging.getLogger("scaledeal.lobby")
+log = logging.getLogger("scaledeal.admission")
 
 OWN = 58  # descriptors for the listeners, the log, discovery, the health probes, operators and those below
 PROBES = 16  # of these, for health probes; what those hold beyond is counted, and given back when a client comes
-CLOSING = 16  # of these, for guests that were told to go and are not closed yet; clients taken in one go
-LOBBY_SHARE = 5  # the lobby is kept to this part of all descriptors, as far as that is fair
+CLOSING = 16  # of these, for idle clients that were told to go and are not closed yet; clients taken in one go
+IDLE_SHARE = 5  # idle clients are kept to this part of all descriptors, as far as that is fair
 FAIR = 0.25  # seconds that a newcomer gets to ask before it has to give way
 UNSTATED = 1024  # descriptors where neither the configuration nor the system says
 SUMMARY = 10.0  # seconds between two log lines on who was turned away
 
 
-class Guest(Protocol):
-    """A client's connection in the lobby."""
+class IdleClient(Protocol):
+    """A client's connection without a request."""
 
     def give_way(self) -> None:
         """Close now: the descriptor is needed."""
@@ -40,7 +40,7 @@
     return min(stated, allowed) if stated > 0 else min(allowed, UNSTATED)
 
 
-class Lobby:
+class Admission:
     """Counts clients, lets them in and has the oldest silent one give way."""
 
     def __init__(self, reactor: Reactor, most: int, now: Callable[[], int]) -> None:
@@ -48,9 +48,9 @@
         self.most = most
         self.lent = 0  # descriptors that another process of this relay holds
         self.now = now
-        self.guests: dict[Guest, int] = {}  # who is in the lobby and silent, and since when; the oldest first
-        self.writers: dict[Guest, None] = {}  # who has begun to ask; who wrote last stands last
-        self.going: set[Guest] = set()  # who was told to go
+        self.silent: dict[IdleClient, int] = {}  # who has sent nothing of a request, and since when; the oldest first
+        self.writers: dict[IdleClient, None] = {}  # who has begun to ask; who wrote last stands last
+        self.going: set[IdleClient] = set()  # who was told to go
         self.asked = 0  # clients with a request or a connection that stands
         self.probing: Callable[[], int] = lambda: 0  # how many connections health probes hold
         self.end_probes: Callable[[int], None] = lambda most: None  # has them hold at most so many
@@ -62,8 +62,8 @@
         if self._full() and self._probing():
             self.end_probes(PROBES)
         # Guards against hundreds of silent connections taking the descriptors of those who ask.
-        while (self.guests or self.writers) and (self._full() or self._crowded()):
-            oldest = next(iter(self.guests or self.writers))
+        while (self.silent or self.writers) and (self._full() or self._crowded()):
+            oldest = next(iter(self.silent or self.writers))
             self.leave(oldest)
             self.going.add(oldest)
             self.count("gave way")
@@ -73,32 +73,32 @@
             return False
         return True
 
-    def enter(self, guest: Guest) -> None:
+    def enter(self, client: IdleClient) -> None:
         """Take a new client."""
-        self.guests[guest] = self.now()
+        self.silent[client] = self.now()
 
-    def writes(self, guest: Guest) -> None:
-        """Hear that a guest goes on writing its request."""
+    def writes(self, client: IdleClient) -> None:
+        """Hear that an idle client goes on writing its request."""
         # Guards against a client that takes 2 s to write being taken for one of a silent crowd.
-        if guest not in self.going:
-            self.guests.pop(guest, None)
-            self.writers.pop(guest, None)
-            self.writers[guest] = None
-
-    def has_asked(self, guest: Guest) -> None:
-        """Hear that a guest has a request: it has left the lobby."""
-        self.leave(guest)
+        if client not in self.going:
+            self.silent.pop(client, None)
+            self.writers.pop(client, None)
+            self.writers[client] = None
+
+    def has_asked(self, client: IdleClient) -> None:
+        """Hear that an idle client has a request: it is no longer idle."""
+        self.leave(client)
         self.asked += 1
 
     def has_ended(self) -> None:
         """Hear that the connection of a client that had asked is over."""
         self.asked -= 1
 
-    def leave(self, guest: Guest) -> None:
-        """Hear that a guest's connection is over."""
-        self.guests.pop(guest, None)
-        self.writers.pop(guest, None)
-        self.going.discard(guest)
+    def leave(self, client: IdleClient) -> None:
+        """Hear that an idle client's connection is over."""
+        self.silent.pop(client, None)
+        self.writers.pop(client, None)
+        self.going.discard(client)
 
     def count(self, why: str) -> None:
         """Count a client that was turned away; a line for each would be a second flood."""
@@ -107,7 +107,7 @@
             self._timer = self.reactor.callLater(SUMMARY, self._tell)
 
     def spare(self) -> int:
-        """Return how many descriptors stay free if nobody new comes and all guests ask."""
+        """Return how many descriptors stay free if nobody new comes and all idle clients ask."""
         return max(0, self.most - OWN - self._going() - self._probing() - 2 * (self.present() + self.asked))
 
     def for_probes(self) -> int:
@@ -116,8 +116,8 @@
         return PROBES + max(0, self.most - self.lent - OWN - self._going() - 2 * (self.present() + self.asked)) // 2
 
     def present(self) -> int:
-        """Return how many are in the lobby."""
-        return len(self.guests) + len(self.writers)
+        """Return how many have no request."""
+        return len(self.silent) + len(self.writers)
 
     def _going(self) -> int:
         return max(0, len(self.going) - CLOSING)
@@ -130,8 +130,8 @@
         return held > self.most - self.lent
 
     def _crowded(self) -> bool:
-        longest = self.now() - next(iter(self.guests.values()), self.now())
-        return self.present() >= (self.most - self.lent) // LOBBY_SHARE and longest > FAIR * 1e9
+        longest = self.now() - next(iter(self.silent.values()), self.now())
+        return self.present() >= (self.most - self.lent) // IDLE_SHARE and longest > FAIR * 1e9
 
     def _tell(self) -> None:
         self._timer = None
--- a/scaledeal/net/proxy_pass.py
+++ b/scaledeal/net/attempt.py
@@ -18,14 +18,14 @@
 from scaledeal.net.buffers import BufferPool
 from scaledeal.net.lines import LineLink
 from scaledeal.net.ports import Connector, Reactor, Timer
-from scaledeal.net.sides import PassEvents
+from scaledeal.net.sides import AttemptEvents
 
 SECOND = 1e9
 HALF_CLOSED = 0.9  # seconds that an application server gets to end what its client has ended
 
 
 class Stage(Enum):
-    """How far a pass has come."""
+    """How far an attempt has come."""
 
     CONNECTING = 1
     SENDING = 2  # the first line's last byte is not written yet: it can't have run
@@ -34,8 +34,8 @@
     ENDING = 5
 
 
-class Trade(msgspec.Struct, frozen=True):
-    """What all proxy passes of this relay share."""
+class AttemptContext(msgspec.Struct, frozen=True):
+    """What all attempts of this relay share."""
 
     reactor: Reactor
     pool: BufferPool
@@ -58,16 +58,16 @@
 _ANSWERS = {**_ENDINGS, wording.BUSY: api.Result.FULL}
 
 
-class ProxyPass:
+class LineAttempt:
     """One attempt."""
 
-    def __init__(self, trade: Trade, line: bytes, peer: Peer, events: PassEvents) -> None:
-        self.trade = trade
+    def __init__(self, context: AttemptContext, line: bytes, peer: Peer, events: AttemptEvents) -> None:
+        self.context = context
         self.line = line
         self.peer = peer
         self.events = events
         self.stage = Stage.CONNECTING
-        self.link = AppServerLink(trade.reactor, trade.pool, self)
+        self.link = AppServerLink(context.reactor, context.pool, self)
         self.result: api.Result | None = None
         self.report: tuple[float, ...] = ()
         self.last_word = api.Result.RESET  # how the connection ended, if it ended now
@@ -76,10 +76,10 @@
         self.connector: Connector | None = None
         self.timer: Timer | None = None
 
-    def begin(self, address: str, wait: int) -> ProxyPass:
-        """Connect; the whole pass may wait so many nanoseconds for its answer."""
-        self.timer = self.trade.reactor.callLater(wait / SECOND, self._timed_out)
-        self.connector = dial(self.link, address, min(wait, self.trade.dial_timeout) / SECOND)
+    def begin(self, address: str, wait: int) -> LineAttempt:
+        """Connect; the whole attempt may wait so many nanoseconds for its answer."""
+        self.timer = self.context.reactor.callLater(wait / SECOND, self._timed_out)
+        self.connector = dial(self.link, address, min(wait, self.context.dial_timeout) / SECOND)
         return self
 
     # What the transaction calls
@@ -110,7 +110,7 @@
             self.parting = True
             self.link.end_sending()
             self._stop_timer()
-            self.timer = self.trade.reactor.callLater(HALF_CLOSED, self._stop, api.Result.CANCELLED)
+            self.timer = self.context.reactor.callLater(HALF_CLOSED, self._stop, api.Result.CANCELLED)
 
     def silent_since(self) -> int:
         """Return since when a message has waited for its answer, or 0."""
@@ -135,7 +135,7 @@
     def message(self, line: bytes) -> None:
         """Pass a client's line on."""
         if self.stage is Stage.STANDING and not self.parting:
-            self.asked_at = self.asked_at or self.trade.now()
+            self.asked_at = self.asked_at or self.context.now()
             self.link.send(line)
 
     # News of the connection
@@ -192,7 +192,7 @@
         elif word == wording.LOAD:
             self._load(line)
         else:
-            self.report = self.trade.read_report(line)
+            self.report = self.context.read_report(line)
             self.stage, self.result = Stage.ENDING, _ANSWERS.get(word, api.Result.ERROR)
             if word == wording.BYE:
                 self.peer.pass_on(line)
@@ -206,12 +206,12 @@
             self._load(line)
             return
         if self.asked_at:
-            took = self.trade.now() - self.asked_at
+            took = self.context.now() - self.asked_at
             self.asked_at = 0
             self.events.message_took(took)
         self.last_word = _ENDINGS.get(word, api.Result.CANCELLED if self.parting else api.Result.RESET)
         if word in (wording.BYE, wording.MOVE):
-            self.report = self.trade.read_report(line)
+            self.report = self.context.read_report(line)
             self.stage, self.result = Stage.ENDING, self.last_word
             self.link.close()
 
--- a/scaledeal/net/carry.py
+++ b/scaledeal/net/carry.py
@@ -15,10 +15,10 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from scaledeal.net import wording
+from scaledeal.net.attempt import LineAttempt
 from scaledeal.net.driver import Driver
 from scaledeal.net.handover import Handed, Offer
 from scaledeal.net.ports import Reactor, Timer
-from scaledeal.net.proxy_pass import ProxyPass
 from scaledeal.net.transaction import Transaction
 from scaledeal.net.user_agent import Reception, UserAgent, asked
 
@@ -96,16 +96,16 @@
         if read is None or number is None or tenant is None:
             raise ValueError(f"no request of this relay: {paused.line!r}")
         agent = UserAgent(reception)
-        _adopt(reception.trade.reactor, descriptors[0], agent)
+        _adopt(reception.context.reactor, descriptors[0], agent)
     except (msgspec.MsgspecError, ValueError, OSError) as error:
         log.warning("a connection that was handed over is not taken: %s", error)
         return False
     transaction = driver.resume(asked(read, number, tenant, driver.now()), agent, told.server, told.load)
-    current = ProxyPass(reception.trade, paused.line, agent, transaction)
+    current = LineAttempt(reception.context, paused.line, agent, transaction)
     transaction.current = current
     agent.resumed(read, transaction, current)
     current.resumed(paused.asked_at)
-    _adopt(reception.trade.reactor, descriptors[1], current.link)
+    _adopt(reception.context.reactor, descriptors[1], current.link)
     agent.paired_with(current.link)
     current.link.paired_with(agent)
     agent.dataReceived(paused.of_client)
--- a/scaledeal/net/farm.py
+++ b/scaledeal/net/discovery_watch.py
@@ -1,4 +1,4 @@
-"""The farm: discovery's list of application servers, kept up by a long-poll watch over HTTP/1.1."""
+"""Discovery's list of application servers, kept up by a long-poll watch over HTTP/1.1."""
 
 from __future__ import annotations
 
@@ -14,29 +14,29 @@
 from scaledeal import interface as api
 from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.roster import Calendar, Roster, entries
-from scaledeal.net.vigil import BODY, Vigil
+from scaledeal.net.watch_times import BODY, WatchTimes
 
-log = logging.getLogger("scaledeal.farm")
+log = logging.getLogger("scaledeal.discovery")
 
 Tell = Callable[[api.Membership, dict[str, str]], None]
 
 
-class Farm:
+class DiscoveryWatch:
     """One watch at a time, which begins with a call that doesn't wait.
 
     A watch that falls silent is opened anew at once. Any other failure ends it: it is told as LOST and made good when
     the decision module says so, but for an agent on this machine, which is asked again and again at no cost.
-    A farm speaks with one discovery. Another discovery is another farm: its versions are counted on its own.
+    It speaks with one discovery. Another discovery is another watch: its versions are counted on its own.
     """
 
     def __init__(self, reactor: Reactor, host: str, port: int, zones: tuple[str, ...], calendar: Calendar,
-                 tell: Tell, vigil: Vigil) -> None:
+                 tell: Tell, times: WatchTimes) -> None:
         self.reactor = reactor
         self.base = f"http://{host}:{port}/catalog/members"
         self.zones = zones
         self.calendar = calendar
         self.tell = tell
-        self.vigil = vigil
+        self.times = times
         self.index: int | None = None  # version of the list held; none before the whole list has come
         self.watching = False
         self.closed = False
@@ -73,10 +73,10 @@
         query = "" if self.index is None else f"?after={self.index}&wait_ms={int(waits * 1000)}"
         asked: Deferred[Any] = self.agent.request(b"GET", (self.base + query).encode())
         self.asked = asked
-        self._give_up_after(self.vigil.patience(waits), asked)
+        self._give_up_after(self.times.patience(waits), asked)
         asked.addCallback(self._read, asked)
         asked.addCallbacks(self._answered, self._failed)
-        asked.addErrback(lambda failure: log.error("farm list could not be told: %s", failure.getTraceback()))
+        asked.addErrback(lambda failure: log.error("discovery list could not be told: %s", failure.getTraceback()))
 
     def _give_up_after(self, patience: float, asked: Deferred[Any]) -> None:
         self._stop_timer()
@@ -106,16 +106,16 @@
             return
         if not roster.snapshot and self.index is not None and roster.index < self.index:
             # Guards against changes that no longer follow on from the list held here.
-            log.warning("farm list went back from %d to %d: asking for all of it", self.index, roster.index)
+            log.warning("discovery list went back from %d to %d: asking for all of it", self.index, roster.index)
             self.index = None
             self._call(0.0)
             return
         self.index = roster.index
-        if self.vigil.missed:
-            log.info("farm list is told again")
-        self.vigil.answered()
+        if self.times.missed:
+            log.info("discovery list is told again")
+        self.times.answered()
         # The next call goes out before the list is told: a watch goes on only if it comes within 200 ms.
-        self._call(self.vigil.wait())
+        self._call(self.times.wait())
         self._tell(api.MembershipKind.FULL if roster.snapshot else api.MembershipKind.CHANGES, roster)
 
     def _failed(self, failure: Failure) -> None:
@@ -125,7 +125,7 @@
         if silent and self.waits and not self.closed:
             # Guards against news that counts as told though it never came: the module would wait before it asks
             # again, and so long a watch that has fallen silent does not let it.
-            log.warning("farm watch fell silent: %s; opened anew", why)
+            log.warning("discovery watch fell silent: %s; opened anew", why)
             self._call(0.0)
         else:
             self._lost(why)
@@ -133,21 +133,21 @@
     def _missed(self) -> str:
         if self.begun:
             return f"an answer did not end within {BODY:.1f} s"
-        late = self.vigil.patience(self.waits) - self.waits
+        late = self.times.patience(self.waits) - self.waits
         return f"no answer {late:.1f} s after " + (f"a wait of {self.waits:.1f} s" if self.waits else "the call")
 
     def _lost(self, why: str) -> None:
         self.asked = None
         if self.closed:
             self.watching = False
-        elif self.vigil.pushed:
+        elif self.times.pushed:
             # Guards against a list that counts as told once the agent is back: it is asked again all the while.
-            if not self.vigil.missed:
-                log.warning("farm list lost: %s; the agent is asked again until it answers", why)
-            self.timer = self.reactor.callLater(self.vigil.pause(), self._call, 0.0)
+            if not self.times.missed:
+                log.warning("discovery list lost: %s; the agent is asked again until it answers", why)
+            self.timer = self.reactor.callLater(self.times.pause(), self._call, 0.0)
         else:
             self.watching = False
-            log.warning("farm list lost: %s", why)
+            log.warning("discovery list lost: %s", why)
             self.tell(api.Membership(api.MembershipKind.LOST), {})
 
     def _tell(self, kind: api.MembershipKind, roster: Roster) -> None:
--- a/scaledeal/net/gate.py
+++ b/scaledeal/net/gate.py
@@ -9,7 +9,7 @@
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory
 
-from scaledeal.net.lobby import CLOSING
+from scaledeal.net.admission import CLOSING
 from scaledeal.net.user_agent import Reception, UserAgent
 
 
@@ -23,7 +23,7 @@
 
     def buildProtocol(self, addr: IAddress | None) -> UserAgent | None:  # noqa: N802, D102
         # Without a protocol the transport closes the socket at once: nothing is cheaper.
-        return UserAgent(self.reception) if self.reception.lobby.room() else None
+        return UserAgent(self.reception) if self.reception.admission.room() else None
 
 
 class Gate(tcp.Port):
--- a/scaledeal/net/health_probe.py
+++ b/scaledeal/net/health_probe.py
@@ -7,8 +7,8 @@
 from scaledeal import interface as api
 from scaledeal.net import wording
 from scaledeal.net.app_server import AppServerLink, dial
+from scaledeal.net.attempt import SECOND, AttemptContext
 from scaledeal.net.ports import Timer
-from scaledeal.net.proxy_pass import SECOND, Trade
 
 PATIENCE = 0.5  # seconds that a probe may take
 
@@ -18,9 +18,9 @@
 class HealthProbe:
     """Probes one application server; owns the connection and its one timer."""
 
-    def __init__(self, trade: Trade, server: str, idle: float, tell: Report,
+    def __init__(self, context: AttemptContext, server: str, idle: float, tell: Report,
                  over: Callable[[str], None]) -> None:
-        self.trade = trade
+        self.context = context
         self.server = server
         self.idle = idle
         self.tell = tell
@@ -34,7 +34,7 @@
         """Probe once."""
         if self.began:
             return
-        self.began = self.trade.now()
+        self.began = self.context.now()
         if self.link is not None and address != self.address:
             self._drop()
         self._set_timer(PATIENCE, self._too_late)
@@ -42,8 +42,8 @@
             self.link.send(wording.STATS)
             return
         self.address = address
-        self.link = AppServerLink(self.trade.reactor, self.trade.pool, self)
-        dial(self.link, address, self.trade.dial_timeout / SECOND)
+        self.link = AppServerLink(self.context.reactor, self.context.pool, self)
+        dial(self.link, address, self.context.dial_timeout / SECOND)
 
     def link_up(self) -> None:
         """Send the probe."""
@@ -60,7 +60,7 @@
     def line_came(self, line: bytes) -> None:
         """Read the answer."""
         if wording.first_word(line) == wording.PONG:
-            self._result(api.Result.OK, self.trade.read_report(line))
+            self._result(api.Result.OK, self.context.read_report(line))
         else:
             self._result(api.Result.ERROR)
 
@@ -97,13 +97,13 @@
     def _result(self, result: api.Result, report: tuple[float, ...] = ()) -> None:
         if not self.began:
             return
-        elapsed, self.began = self.trade.now() - self.began, 0
+        elapsed, self.began = self.context.now() - self.began, 0
         self._set_timer(self.idle, self._unused)
         self.tell(api.ProbeResult(self.server, result, elapsed, report))
 
     def _set_timer(self, delay: float, call: Callable[[], None]) -> None:
         self._stop_timer()
-        self.timer = self.trade.reactor.callLater(delay, call)
+        self.timer = self.context.reactor.callLater(delay, call)
 
     def _stop_timer(self) -> None:
         if self.timer is not None and self.timer.active():
@@ -133,9 +133,10 @@
 class HealthProbes:
     """The health probes of all application servers."""
 
-    def __init__(self, trade: Trade, idle: int, tell: Report, room: Callable[[], int] = lambda: 1 << 20) -> None:
+    def __init__(self, context: AttemptContext, idle: int, tell: Report,
+                 room: Callable[[], int] = lambda: 1 << 20) -> None:
         """``room`` tells how many connections may be held for probes now."""
-        self.trade = trade
+        self.context = context
         self.idle = idle / SECOND
         self.tell = tell
         self.room = room
@@ -143,7 +144,7 @@
 
     def probe(self, server: str, address: str) -> None:
         """Probe once; exactly one result is reported."""
-        probe = self.probes.pop(server, None) or HealthProbe(self.trade, server, self.idle, self.tell, self.forget)
+        probe = self.probes.pop(server, None) or HealthProbe(self.context, server, self.idle, self.tell, self.forget)
         self.probes[server] = probe
         if probe.link is None:
             self.give_back(self.room() - 1)
--- a/scaledeal/net/operators.py
+++ b/scaledeal/net/operators.py
@@ -11,7 +11,7 @@
 from scaledeal.net.lines import LineLink
 from scaledeal.net.ports import Reactor
 
-CALLERS = 8  # callers at once; their descriptors are set aside by the lobby
+CALLERS = 8  # callers at once; their descriptors are set aside by the admission
 CALL_TIME = 2.0  # seconds that a caller gets for its line
 
 Call = Callable[[], str]  # what a call does: returns its answer, whose first line starts with ok or fail
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -13,26 +13,26 @@
 
 from scaledeal import interface as api
 from scaledeal.net import config as told
+from scaledeal.net.admission import Admission, most_descriptors
+from scaledeal.net.attempt import AttemptContext
 from scaledeal.net.buffers import BufferPool
 from scaledeal.net.config import Config
+from scaledeal.net.discovery_watch import DiscoveryWatch
 from scaledeal.net.driver import Driver
-from scaledeal.net.farm import Farm
 from scaledeal.net.figures import Figures
 from scaledeal.net.gate import Door, Gate
-from scaledeal.net.grounds import Grounds
 from scaledeal.net.handover import Place
 from scaledeal.net.health_probe import HealthProbes
-from scaledeal.net.lobby import Lobby, most_descriptors
 from scaledeal.net.operators import Operators
 from scaledeal.net.ports import Port, Reactor
-from scaledeal.net.proxy_pass import Trade
 from scaledeal.net.roster import Calendar
 from scaledeal.net.service import Service, Stage
 from scaledeal.net.sides import Side
 from scaledeal.net.succession import Succession
+from scaledeal.net.system import System
 from scaledeal.net.trace import open_trace
 from scaledeal.net.user_agent import Reception
-from scaledeal.net.vigil import Vigil
+from scaledeal.net.watch_times import WatchTimes
 from scaledeal.net.wording import report_reader
 
 log = logging.getLogger("scaledeal.relay")
@@ -49,27 +49,27 @@
 class Relay:
     """One relay, from its start to its end."""
 
-    def __init__(self, reactor: Reactor, config: Config, grounds: Grounds | None = None) -> None:
+    def __init__(self, reactor: Reactor, config: Config, system: System | None = None) -> None:
         self.reactor = reactor
         self.config = config
-        self.grounds = grounds or Grounds()
+        self.system = system or System()
         document = config.document
         self.figures = Figures(tuple(entry.name for entry in document.classes))
-        self.driver = Driver(reactor, config.settings, config.seed, self.figures, self.grounds.monotonic)
+        self.driver = Driver(reactor, config.settings, config.seed, self.figures, self.system.monotonic)
         self._trace()
         pool = BufferPool()
-        trade = Trade(reactor, pool, self.driver.now, report_reader(document.report.fields),
+        context = AttemptContext(reactor, pool, self.driver.now, report_reader(document.report.fields),
                       int(document.caps.dial_timeout))
-        self.calendar = Calendar(self.grounds.monotonic(), self.grounds.unix())
-        self.farm = self._farm()
-        self.driver.watch = lambda: self.farm.watch()
+        self.calendar = Calendar(self.system.monotonic(), self.system.unix())
+        self.discovery = self._watch()
+        self.driver.watch = lambda: self.discovery.watch()
         classes = {entry.name: number for number, entry in enumerate(document.classes)}
         tenants = {entry.name or str(number): number for number, entry in enumerate(document.accounts)}
-        lobby = Lobby(reactor, most_descriptors(config.sockets), self.driver.now)
-        self.driver.prober = probes = HealthProbes(trade, int(document.caps.idle_close), self.driver.post,
-                                                   lobby.for_probes)
-        lobby.probing, lobby.end_probes = probes.held, probes.give_back
-        self.door = Door(Reception(trade, classes, tenants, lobby, self.driver.take,
+        admission = Admission(reactor, most_descriptors(config.sockets), self.driver.now)
+        self.driver.prober = probes = HealthProbes(context, int(document.caps.idle_close), self.driver.post,
+                                                   admission.for_probes)
+        admission.probing, admission.end_probes = probes.held, probes.give_back
+        self.door = Door(Reception(context, classes, tenants, admission, self.driver.take,
                                    lambda: self.service.stage is not Stage.LAME_DUCK))
         self.port: Port | None = None
         self.service = Service(self.driver)
@@ -95,7 +95,7 @@
             return
         try:
             now = self.driver.now()
-            self.driver.trace = open_trace(self.config.trace, self.config.name, self.grounds.unix() - now)
+            self.driver.trace = open_trace(self.config.trace, self.config.name, self.system.unix() - now)
         except OSError as error:
             raise told.ConfigError(f"PROXY_TRACE: {self.config.trace}: {error.strerror}") from None
         self.driver.trace.begins(now, tuple(entry.name for entry in self.config.document.classes),
@@ -118,12 +118,12 @@
 
     def _open(self, descriptor: int | None) -> None:
         """Listen on the socket that was handed over, or on one of our own."""
-        self.farm.start_with(self.config.known, descriptor is not None)
+        self.discovery.start_with(self.config.known, descriptor is not None)
         if not self.config.settings.ask_discovery:
             # Guards against a list that is never read where it is pushed: the agent on this machine answers at
             # once and at no cost, and what it holds counts as told, so it is watched from the start. The module
             # asks only where discovery is one service for all relays, and again after any failure.
-            self.farm.watch()
+            self.discovery.watch()
         if descriptor is None:
             try:
                 self.port = self._listen(True, self.config.listen, self.door, "PROXY_LISTEN")
@@ -161,7 +161,7 @@
                  self.config.listen.host, self.port.getHost().port, len(self.driver.addresses))
 
     def _listen(self, clients: bool, at: told.Address, factory: ServerFactory, what: str) -> Port:
-        port = self.grounds.port(clients, at.port, factory, BACKLOG, at.host, self.reactor)
+        port = self.system.port(clients, at.port, factory, BACKLOG, at.host, self.reactor)
         try:
             port.startListening()
         except CannotListenError as error:
@@ -180,16 +180,16 @@
         stage = self.service.stage.name.lower().replace("_", " ")
         return f"{'ok' if yes else 'fail'} {stage}, {len(self.driver.standing())} connections stand"
 
-    def _farm(self) -> Farm:
+    def _watch(self) -> DiscoveryWatch:
         where = self.config.discovery
-        return Farm(self.reactor, where.host, where.port, self.config.document.failure_domains, self.calendar,
-                    self._listed, self._vigil())
+        return DiscoveryWatch(self.reactor, where.host, where.port, self.config.document.failure_domains, self.calendar,
+                              self._listed, self._times())
 
-    def _vigil(self) -> Vigil:
+    def _times(self) -> WatchTimes:
         settings, rules = self.config.settings, self.config.document.rules
         # Guards against relays in step that were told no number: the seed sets them apart as well.
         place = settings.me / settings.siblings if settings.siblings > 1 else Random(self.config.seed).random()
-        return Vigil(not settings.ask_discovery, rules.ask_within / 1e9, rules.drain_grace / 1e9, place)
+        return WatchTimes(not settings.ask_discovery, rules.ask_within / 1e9, rules.drain_grace / 1e9, place)
 
     # A new configuration
 
@@ -211,11 +211,11 @@
             return
         where = self.config.discovery
         log.info("configuration read again: discovery is now at %s:%d", where.host, where.port)
-        self.farm.close()
+        self.discovery.close()
         # Guards against a list that stays as old as the last call: the new discovery is asked at once, and
         # for all of it, as the old one's versions mean nothing there.
-        self.farm = self._farm()
-        self.farm.watch()
+        self.discovery = self._watch()
+        self.discovery.watch()
 
     # The end
 
@@ -233,10 +233,10 @@
             self.reactor.callLater(end + LAST_CALL, self._last_call)
 
     def _leave_when_done(self) -> None:
-        lobby = self.door.reception.lobby
+        admission = self.door.reception.admission
         # Guards against a client that is cut off while it writes. Where a new version serves, nobody comes
         # any more, and all who are in get their time.
-        asking = lobby.present() if self.succession.replaced else len(lobby.writers)
+        asking = admission.present() if self.succession.replaced else len(admission.writers)
         if self.driver.transactions or asking:
             self.reactor.callLater(0.05, self._leave_when_done)
         else:
@@ -258,6 +258,6 @@
             for port in (self.port, self.admin):
                 if port is not None:
                     port.stopListening()
-            self.farm.close()
+            self.discovery.close()
             log.info("stopped: %d requests and connections were left", len(self.driver.transactions))
             self.reactor.stop()
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -31,10 +31,10 @@
     state: bytes  # what its protocol needs besides, for that protocol alone to read
 
 
-class PassEvents(Protocol):
-    """Who hears of a proxy pass."""
+class AttemptEvents(Protocol):
+    """Who hears of an attempt."""
 
-    server: str  # the name of the application server that the pass goes to
+    server: str  # the name of the application server that the attempt goes to
 
     def written(self) -> None:
         """Hear that the first line's last byte is written: from here on it may have run."""
@@ -49,10 +49,10 @@
         """Hear how many nanoseconds passed between a message and its answer."""
 
     def over(self, result: api.Result, report: tuple[float, ...], broke: bool) -> None:
-        """Hear, once, how the pass ended; its connection is closed by then, unless it stood."""
+        """Hear, once, how the attempt ended; its connection is closed by then, unless it stood."""
 
 
-class Pass(Protocol):
+class Attempt(Protocol):
     """One attempt at an application server."""
 
     def give_up(self) -> None:
@@ -77,7 +77,7 @@
 class Agent(Protocol):
     """A user agent that asked for something."""
 
-    def begin_pass(self, address: str, wait: int, events: PassEvents) -> Pass:
+    def begin_attempt(self, address: str, wait: int, events: AttemptEvents) -> Attempt:
         """Start one attempt that may wait so many nanoseconds for its answer."""
 
     def refuse(self, retry_after: int) -> None:
--- a/scaledeal/net/succession.py
+++ b/scaledeal/net/succession.py
@@ -5,11 +5,11 @@
 import logging
 from collections.abc import Callable
 
+from scaledeal.net.admission import OWN
 from scaledeal.net.carry import Carrier, resume
 from scaledeal.net.driver import Driver
 from scaledeal.net.handover import Claim, Handed, Offer, Place
 from scaledeal.net.inherited import Inherited, Standing, standing
-from scaledeal.net.lobby import OWN
 from scaledeal.net.ports import Port, Reactor
 from scaledeal.net.user_agent import Reception
 
@@ -23,7 +23,7 @@
                  come: Callable[[int | None], None]) -> None:
         self.driver = driver
         self.reception = reception
-        self.lobby = reception.lobby
+        self.admission = reception.admission
         self.come = come  # takes the listening descriptor, and owns it; None where nobody hands one over
         self.inherited = Inherited(driver)
         self.port: Port | None = None  # where clients are taken, once they are
@@ -68,7 +68,7 @@
 
     def spare(self) -> int:
         """Return how many descriptors a successor may hold."""
-        return self.lobby.spare()
+        return self.admission.spare()
 
     def standing(self) -> dict[str, Standing]:
         """Return the connections that stand here."""
@@ -76,7 +76,7 @@
 
     def succeeded(self, there: bool, serving: bool) -> None:
         """Take no more clients once a successor serves; take them again if it is lost."""
-        self.lobby.lent = OWN if there else 0
+        self.admission.lent = OWN if there else 0
         if self.carrier is not None and not there:
             self.carrier.lost()
         if self.port is None or serving == self.replaced:
@@ -100,7 +100,7 @@
     def may_hold(self, count: int | None) -> None:
         """Hear how many descriptors the old process leaves; None once it is gone."""
         # Guards against two processes that together hold more descriptors than one relay may.
-        self.lobby.lent = max(0, self.lobby.most - count) if count is not None else 0
+        self.admission.lent = max(0, self.admission.most - count) if count is not None else 0
         if count is None:
             self.inherited.all_left()
 
--- a/scaledeal/net/grounds.py
+++ b/scaledeal/net/system.py
@@ -16,7 +16,7 @@
 from scaledeal.net.ports import Port, Reactor
 
 
-class Grounds:
+class System:
     """The system's own."""
 
     def monotonic(self) -> int:
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -1,6 +1,6 @@
 """One request of a user agent, from its arrival until nothing of it is left.
 
-It owns the current proxy pass and the timer of the final answer, and gives exactly one final answer.
+It owns the current attempt and the timer of the final answer, and gives exactly one final answer.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 from scaledeal.net.figures import Figures
 from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.ports import Timer
-from scaledeal.net.sides import Agent, Ask, Carried, Pass
+from scaledeal.net.sides import Agent, Ask, Attempt, Carried
 
 MS = 1_000_000
 UNANSWERED = 250 * MS  # a message without an answer for so long is news before its answer comes
@@ -29,10 +29,10 @@
     WAITING = 1  # an answer is owed
     STANDING = 2  # served: lines pass both ways
     HANDED = 3  # offered to another process of this relay: nothing is read until that has it, or is gone
-    OVER = 4  # answered, moved or left; a pass may still be closing
+    OVER = 4  # answered, moved or left; an attempt may still be closing
 
 
-class Desk(Protocol):
+class TransactionHost(Protocol):
     """What a transaction needs of the driver."""
 
     draining: bool
@@ -65,35 +65,35 @@
 class Transaction:
     """The states of one request; the decision module's actions and both sides' news change them."""
 
-    def __init__(self, desk: Desk, handle: str, ask: Ask, agent: Agent) -> None:
-        self.desk = desk
+    def __init__(self, host: TransactionHost, handle: str, ask: Ask, agent: Agent) -> None:
+        self.host = host
         self.handle = handle
         self.ask = ask
         self.agent = agent
         self.state = State.WAITING
-        self.passes = 0
-        self.current: Pass | None = None
+        self.attempts = 0
+        self.current: Attempt | None = None
         self.server = ""
         self.began = 0
-        self.counts = desk.figures.counts[ask.request_class]
-        self.aim = desk.delays.aims[ask.request_class]
+        self.counts = host.figures.counts[ask.request_class]
+        self.aim = host.delays.aims[ask.request_class]
         self.told_late = 0  # since when the message waits that was noted as late
         self.told_silent = 0  # since when the message waits whose silence the module was told of
-        self.timer: Timer | None = desk.later(max(0, ask.deadline - desk.now()) + SLACK, self._answer_owed)
+        self.timer: Timer | None = host.later(max(0, ask.deadline - host.now()) + SLACK, self._answer_owed)
 
     # The decision module's actions
 
     def send(self, server: str, address: str, timeout: int) -> None:
-        """Begin a proxy pass, unless the request is over or its time is up."""
-        number, self.passes = self.passes, self.passes + 1
-        self.server, self.began = server, self.desk.now()
+        """Begin an attempt, unless the request is over or its time is up."""
+        number, self.attempts = self.attempts, self.attempts + 1
+        self.server, self.began = server, self.host.now()
         left = self.ask.deadline - self.began
         if self.state is not State.WAITING or self.current is not None or left <= 0:
             self._outcome(number, api.Result.NOT_SENT, ())
         elif not address:
             self._outcome(number, api.Result.CONNECT_FAILED, ())
         else:
-            self.current = self.agent.begin_pass(address, min(timeout or left, left), self)
+            self.current = self.agent.begin_attempt(address, min(timeout or left, left), self)
 
     def refuse(self, retry_after: int) -> None:
         """Answer: refused."""
@@ -108,8 +108,8 @@
             self.agent.fail()
 
     def cancel(self, number: int) -> None:
-        """Give up the pass of this number, if it is still out and does not stand."""
-        if self.current is not None and number == self.passes - 1 and self.state is not State.STANDING:
+        """Give up the attempt of this number, if it is still out and does not stand."""
+        if self.current is not None and number == self.attempts - 1 and self.state is not State.STANDING:
             self.current.give_up()
 
     def move(self) -> None:
@@ -123,14 +123,14 @@
         """End a connection that stands politely though the decision module did not ask for it."""
         if self.state is State.STANDING:
             # Guards against servers taken for draining: they did not send away whom this relay moved.
-            self.desk.post(api.ClientGone(self.handle))
+            self.host.post(api.ClientGone(self.handle))
             self.move()
 
     # Another process of this relay
 
     def resumed(self, server: str) -> None:
         """Stand from the beginning: another process has brought it up."""
-        self.state, self.server, self.passes = State.STANDING, server, 1
+        self.state, self.server, self.attempts = State.STANDING, server, 1
         self._stop_timer()
 
     def hand_over(self) -> Carried | None:
@@ -145,8 +145,8 @@
         if self.state is State.HANDED:
             self.state, self.current = State.OVER, None
             self.agent.let_go()
-            self.desk.post(api.ClientGone(self.handle))  # its server has not sent it away
-            self._outcome(self.passes - 1, api.Result.CANCELLED, ())
+            self.host.post(api.ClientGone(self.handle))  # its server has not sent it away
+            self._outcome(self.attempts - 1, api.Result.CANCELLED, ())
 
     def keep(self) -> None:
         """Hear that the other process is gone without it."""
@@ -154,10 +154,10 @@
             self.state = State.STANDING
             self.agent.keep()
 
-    # News of the pass
+    # News of the attempt
 
     def written(self) -> None:
-        """Hear that the pass's first line is written whole."""
+        """Hear that the attempt's first line is written whole."""
         self.counts.relayed += 1
 
     def established(self) -> None:
@@ -167,28 +167,28 @@
         self._stop_timer()
         ask = self.ask
         if ask.standing_at:
-            self.desk.post(api.OpenConnection(self.handle, ask.request_class, self.server, ask.key, ask.group,
+            self.host.post(api.OpenConnection(self.handle, ask.request_class, self.server, ask.key, ask.group,
                                               ask.tenant, ask.load_hint))
         else:
-            elapsed = self.desk.now() - self.began
-            self.desk.post(api.Established(self.handle, self.passes - 1, self.server, elapsed))
-        if self.desk.draining:
+            elapsed = self.host.now() - self.began
+            self.host.post(api.Established(self.handle, self.attempts - 1, self.server, elapsed))
+        if self.host.draining:
             self.send_away()
 
     def load_line(self, amount: float) -> None:
         """Pass on what a LOAD line tells."""
-        if told := self.desk.load_lines.read(self.server, self.handle, amount):
+        if told := self.host.load_lines.read(self.server, self.handle, amount):
             self.note(*told)
 
     def message_took(self, took: int) -> None:
         """Pass on how long a message took, where that is news."""
-        self.desk.delays.answer(self.server, took)
+        self.host.delays.answer(self.server, took)
         if took > self.aim > 0:
-            self.desk.late(self, took, False)
+            self.host.late(self, took, False)
         self._delay(took)
 
     def _delay(self, took: int) -> None:
-        if self.desk.delays.news(self.server, took):
+        if self.host.delays.news(self.server, took):
             self.note(api.NoteKind.DELAY, took / MS)
 
     def look(self, now: int) -> None:
@@ -198,11 +198,11 @@
             return
         if now - since > self.aim > 0 and self.told_late != since:
             self.told_late = since
-            self.desk.late(self, now - since, True)
+            self.host.late(self, now - since, True)
         if now - since >= SILENT:
-            self.desk.silent(self)
+            self.host.silent(self)
             self.current.break_off()
-        elif now - since >= UNANSWERED and not self.desk.delays.answers_since(self.server, since):
+        elif now - since >= UNANSWERED and not self.host.delays.answers_since(self.server, since):
             self._delay(now - since)
         elif now - since >= STALLED and self.told_silent != since:
             # Guards against one connection that fell silent being told as a server that hangs.
@@ -211,10 +211,10 @@
 
     def note(self, kind: api.NoteKind, amount: float) -> None:
         """Tell the module news of the connection."""
-        self.desk.post(api.Note(self.handle, self.passes - 1, self.server, kind, amount))
+        self.host.post(api.Note(self.handle, self.attempts - 1, self.server, kind, amount))
 
     def over(self, result: api.Result, report: tuple[float, ...], broke: bool) -> None:
-        """Hear how the pass ended."""
+        """Hear how the attempt ended."""
         self.current = None
         stood = self.state is State.STANDING
         if stood or (result is api.Result.OK and self.state is State.WAITING):
@@ -225,7 +225,7 @@
         elif self.ask.standing_at and self.state is State.WAITING:
             self.fail()
             return
-        self._outcome(self.passes - 1, result, report)
+        self._outcome(self.attempts - 1, result, report)
 
     # News of the user agent
 
@@ -239,8 +239,8 @@
             self.state = State.OVER
             self._stop_timer()
             if self.ask.standing_at:
-                self.cancel(self.passes - 1)
-            self.desk.post(api.ClientGone(self.handle))
+                self.cancel(self.attempts - 1)
+            self.host.post(api.ClientGone(self.handle))
             self._forget_if_over()
 
     def sending_ended(self) -> None:
@@ -267,20 +267,20 @@
         """Answer a request that was held past its time: an answer is owed whatever the module does."""
         self.timer = None
         if self._answered():
-            self.desk.overdue(self)
+            self.host.overdue(self)
             self.counts.faulted += 1
             self.agent.fail()
-            self.desk.post(api.ClientGone(self.handle))
+            self.host.post(api.ClientGone(self.handle))
 
     def _outcome(self, number: int, result: api.Result, report: tuple[float, ...]) -> None:
         last = self.state is State.OVER
         self._forget_if_over()
-        elapsed = self.desk.now() - self.began
-        self.desk.post(api.Outcome(self.handle, number, self.server, result, elapsed, last, report))
+        elapsed = self.host.now() - self.began
+        self.host.post(api.Outcome(self.handle, number, self.server, result, elapsed, last, report))
 
     def _forget_if_over(self) -> None:
         if self.state is State.OVER and self.current is None:
-            self.desk.forget(self)
+            self.host.forget(self)
 
     def _stop_timer(self) -> None:
         if self.timer is not None and self.timer.active():
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from scaledeal.net import wording
+from scaledeal.net.admission import Admission
+from scaledeal.net.attempt import SECOND, AttemptContext, LineAttempt
 from scaledeal.net.lines import LineLink
-from scaledeal.net.lobby import Lobby
-from scaledeal.net.proxy_pass import SECOND, ProxyPass, Trade
-from scaledeal.net.sides import Agent, Ask, Carried, PassEvents, Resume, Resumption
+from scaledeal.net.sides import Agent, Ask, AttemptEvents, Carried, Resume, Resumption
 from scaledeal.net.transaction import Transaction
 
 FIRST_LINE = 2.5  # seconds that a client may stay without a whole first line, or between two PINGs
@@ -32,10 +32,10 @@
 class Reception(msgspec.Struct, frozen=True):
     """What all user agents of this relay share."""
 
-    trade: Trade
+    context: AttemptContext
     classes: dict[str, int]
     tenants: dict[str, int]  # tenants' names in the settings, and their numbers
-    lobby: Lobby
+    admission: Admission
     take: Callable[[Ask, Agent], Transaction]
     ready: Callable[[], bool]  # whether a front that asks is told yes
     resume: list[Resume] = msgspec.field(default_factory=list)  # who takes resumable sessions: none, or one
@@ -78,13 +78,13 @@
     """A client's connection."""
 
     def __init__(self, reception: Reception) -> None:
-        trade = reception.trade
-        super().__init__(trade.reactor, trade.pool)
+        context = reception.context
+        super().__init__(context.reactor, context.pool)
         self.reception = reception
         self.stage = Stage.FIRST
         self.open_line: wording.OpenLine | None = None
         self.transaction: Transaction | None = None
-        self.current: ProxyPass | None = None
+        self.current: LineAttempt | None = None
         self.session: Resumption | None = None
         self.early: list[bytes] = []  # lines that came before the answer
         self.pings, self.pinged_since = 0, 0  # PINGs since then
@@ -94,7 +94,7 @@
 
     def link_up(self) -> None:
         """Guard against a client that never says anything, or only ever half of it."""
-        self.reception.lobby.enter(self)
+        self.reception.admission.enter(self)
         self._set_timer(FIRST_LINE, self._too_late)
 
     def line_came(self, line: bytes) -> None:
@@ -115,9 +115,9 @@
                 self.wire.pauseProducing()
 
     def part_came(self, part: bytes) -> None:
-        """Tell the lobby of a client that is writing its request."""
+        """Tell the admission of a client that is writing its request."""
         if self.stage is Stage.FIRST and wording.may_be_open(part):
-            self.reception.lobby.writes(self)
+            self.reception.admission.writes(self)
 
     def bad_line(self) -> None:
         """Answer a line that is too long."""
@@ -142,9 +142,9 @@
         """Hear that the connection is over."""
         self._leave(broke)
         if self.asked:
-            self.reception.lobby.has_ended()
+            self.reception.admission.has_ended()
         else:
-            self.reception.lobby.leave(self)
+            self.reception.admission.leave(self)
 
     def give_way(self) -> None:
         """Close now: others need the descriptor."""
@@ -173,16 +173,16 @@
             if session is not None:
                 session.cut = self._cut
         self._has_asked(Stage.ASKED, read)
-        self.transaction = reception.take(asked(read, number, tenant, reception.trade.now()), self)
+        self.transaction = reception.take(asked(read, number, tenant, reception.context.now()), self)
 
     def _has_asked(self, stage: Stage, read: wording.OpenLine) -> None:
         self._stop_timer()
         self.stage, self.open_line, self.asked = stage, read, True
         self.reception.ids.add(read.id)
-        self.reception.lobby.has_asked(self)
+        self.reception.admission.has_asked(self)
 
     def _ping(self) -> None:
-        now = self.reception.trade.now()
+        now = self.reception.context.now()
         if now - self.pinged_since > FIRST_LINE * SECOND:
             self.pinged_since, self.pings = now, 0
         self.pings += 1
@@ -198,7 +198,7 @@
 
     def _reject(self, why: str, words: bytes = wording.ERR) -> None:
         """Answer what is no request."""
-        self.reception.lobby.count(why)
+        self.reception.admission.count(why)
         self._stop_timer()
         self.stage = Stage.OVER
         self.send(words)
@@ -227,14 +227,14 @@
 
     # What the transaction calls
 
-    def begin_pass(self, address: str, wait: int, events: PassEvents) -> ProxyPass:
+    def begin_attempt(self, address: str, wait: int, events: AttemptEvents) -> LineAttempt:
         """Start one attempt."""
         assert self.open_line is not None
         read = self.open_line
         if self.session is not None:
             read = msgspec.structs.replace(read, names=self.session.asked())
         line = read.with_wait(wait)
-        self.current = ProxyPass(self.reception.trade, line, self, events)
+        self.current = LineAttempt(self.reception.context, line, self, events)
         return self.current.begin(address, wait)
 
     def refuse(self, retry_after: int) -> None:
@@ -260,7 +260,7 @@
 
     # Another process
 
-    def resumed(self, read: wording.OpenLine, transaction: Transaction, current: ProxyPass) -> None:
+    def resumed(self, read: wording.OpenLine, transaction: Transaction, current: LineAttempt) -> None:
         """Stand from the beginning: another process has brought it up."""
         self._has_asked(Stage.STANDING, read)
         self.transaction, self.current = transaction, current
@@ -283,7 +283,7 @@
         if self.current is not None:
             self.current.let_go()
         super().let_go()
-        self.reception.lobby.has_ended()
+        self.reception.admission.has_ended()
 
     def keep(self) -> None:
         """Read on: no other process has it."""
@@ -299,7 +299,7 @@
         self.send(line)
         self.end()
 
-    # What the proxy pass calls
+    # What the attempt calls
 
     def stands(self, link: LineLink, line: bytes) -> bool:
         """Pass on the answer; from here on lines go both ways. Tell whether the client is still there."""
--- a/scaledeal/net/vigil.py
+++ b/scaledeal/net/watch_times.py
@@ -1,4 +1,4 @@
-"""When a call of discovery waits, and when its answer is missed: the times of a farm, and no I/O.
+"""When a call of discovery waits, and when its answer is missed: the times of a discovery watch, and no I/O.
 
 What discovery has to tell counts as told ``SILENT_TOLD`` after a call fell silent, or ``WAIT_TOLD`` after the end of
 its wait where that is later, whether it arrived or not. From then on the rule of draining servers runs, so a silent
@@ -23,7 +23,7 @@
 GOLDEN = 0.6180339887498949  # turns by so much fall evenly, however many there are
 
 
-class Vigil(msgspec.Struct):
+class WatchTimes(msgspec.Struct):
     """The times of one relay's calls, in seconds.
 
     Where discovery is asked it is one service for all relays, which takes calls in turn, and a new watch costs it
--- a/scaledeal/quic/sockets/agent.py
+++ b/scaledeal/quic/sockets/agent.py
@@ -1,4 +1,4 @@
-"""The driver's view of a QUIC flow: an agent that gives its final answer, and a pass that is one attempt."""
+"""The driver's view of a QUIC flow: an agent that gives its final answer, and one attempt at a server."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from scaledeal import interface as api
 from scaledeal.net.ports import Timer
-from scaledeal.net.sides import Carried, PassEvents
+from scaledeal.net.sides import AttemptEvents, Carried
 from scaledeal.net.transaction import Transaction
 from scaledeal.quic.core.table import Flow
 from scaledeal.quic.wire import frames
@@ -17,10 +17,10 @@
 MS = 1_000_000
 
 
-class QuicPass:
+class QuicAttempt:
     """One attempt at a tile server; it owns the timer of its wait, the router owns its path."""
 
-    def __init__(self, side: QuicSide, flow: Flow, events: PassEvents) -> None:
+    def __init__(self, side: QuicSide, flow: Flow, events: AttemptEvents) -> None:
         self.side = side
         self.flow = flow
         self.events = events
@@ -28,14 +28,14 @@
         self.stands = False
         self.done = False
 
-    def begin(self, wait: int) -> QuicPass:
-        """Send all that the client has sent; the whole pass may wait so many nanoseconds."""
+    def begin(self, wait: int) -> QuicAttempt:
+        """Send all that the client has sent; the whole attempt may wait so many nanoseconds."""
         self.timer = self.side.reactor.callLater(wait / 1e9, self.failed, api.Result.TIMEOUT)
         sent = self.side.carry_out(self.side.router.attempt(self.flow, self.events.server, self.side.now()))
         if sent and self.flow.attempt is not None:
             self.events.written()
         else:
-            # Later, as the transaction does not hold this pass yet.
+            # Later, as the transaction does not hold this attempt yet.
             self.side.reactor.callLater(0, self.failed, api.Result.CONNECT_FAILED)
         return self
 
@@ -102,17 +102,17 @@
         self.side = side
         self.flow = flow
         self.transaction: Transaction | None = None
-        self.current: QuicPass | None = None
+        self.current: QuicAttempt | None = None
 
-    def begin_pass(self, address: str, wait: int, events: PassEvents) -> QuicPass:
+    def begin_attempt(self, address: str, wait: int, events: AttemptEvents) -> QuicAttempt:
         """Start one attempt."""
-        self.current = QuicPass(self.side, self.flow, events)
+        self.current = QuicAttempt(self.side, self.flow, events)
         return self.current.begin(wait)
 
     def stands(self, transaction: Transaction) -> None:
         """Stand from the beginning: an id says that the flow does."""
         self.transaction = transaction
-        self.current = QuicPass(self.side, self.flow, transaction)
+        self.current = QuicAttempt(self.side, self.flow, transaction)
         self.current.stands = True
         transaction.current = self.current
 
--- a/scaledeal/quic/sockets/side.py
+++ b/scaledeal/quic/sockets/side.py
@@ -13,8 +13,8 @@
 
 from scaledeal import interface as api
 from scaledeal.net import config as told
+from scaledeal.net.admission import OWN
 from scaledeal.net.driver import Driver
-from scaledeal.net.lobby import OWN
 from scaledeal.net.ports import Reactor
 from scaledeal.net.relay import Relay
 from scaledeal.net.service import Stage
@@ -37,7 +37,7 @@
 
 TICK = 1.0  # seconds between two looks at what is due
 SUMMARY = 10  # ticks between two log lines on what was dropped
-LEAST_LOBBY = 64  # descriptors that lines must keep
+LEAST_IDLE = 64  # descriptors that lines must keep
 
 
 class QuicSide:
@@ -86,12 +86,12 @@
 
     def _reserve(self) -> None:
         """Take the paths' descriptors out of what lines may use."""
-        lobby = self.relay.door.reception.lobby
+        admission = self.relay.door.reception.admission
         wanted = self.quic.max_paths + 4  # the front, the handover, and its two ends
-        if lobby.most - wanted < OWN + LEAST_LOBBY:
-            raise told.ConfigError(f"quic.max_paths: {wanted} descriptors of {lobby.most} leave lines too few; "
-                                   f"{max(0, lobby.most - OWN - LEAST_LOBBY - 4)} paths fit")
-        lobby.most -= wanted
+        if admission.most - wanted < OWN + LEAST_IDLE:
+            raise told.ConfigError(f"quic.max_paths: {wanted} descriptors of {admission.most} leave lines too few; "
+                                   f"{max(0, admission.most - OWN - LEAST_IDLE - 4)} paths fit")
+        admission.most -= wanted
 
     def start(self) -> None:
         """Look for an old process, or bind the socket."""
--- a/tests/netfakes.py
+++ b/tests/netfakes.py
@@ -12,14 +12,14 @@
 from twisted.python.failure import Failure
 
 from scaledeal import interface as api
+from scaledeal.net.admission import Admission
+from scaledeal.net.attempt import AttemptContext
 from scaledeal.net.buffers import BufferPool
 from scaledeal.net.driver import Driver
 from scaledeal.net.figures import Figures
 from scaledeal.net.gate import Door
 from scaledeal.net.health_probe import HealthProbes
 from scaledeal.net.lines import LineLink
-from scaledeal.net.lobby import Lobby
-from scaledeal.net.proxy_pass import Trade
 from scaledeal.net.service import Service, Stage
 from scaledeal.net.user_agent import Reception
 from scaledeal.net.wording import report_reader
@@ -210,14 +210,14 @@
                              lambda: int(self.reactor.seconds() * 1e9))
         self.module = Scripted()
         self.driver.balancer = self.module  # type: ignore[assignment]
-        trade = Trade(self.reactor, self.pool, self.driver.now, report_reader(("fail_rate", "rif", "x0")),
+        context = AttemptContext(self.reactor, self.pool, self.driver.now, report_reader(("fail_rate", "rif", "x0")),
                       250 * MS)
-        self.lobby = Lobby(self.reactor, 256, self.driver.now)
-        self.probes = HealthProbes(trade, 5000 * MS, self.driver.post, self.lobby.for_probes)
-        self.lobby.probing, self.lobby.end_probes = self.probes.held, self.probes.give_back
+        self.admission = Admission(self.reactor, 256, self.driver.now)
+        self.probes = HealthProbes(context, 5000 * MS, self.driver.post, self.admission.for_probes)
+        self.admission.probing, self.admission.end_probes = self.probes.held, self.probes.give_back
         self.driver.prober = self.probes
         self.service = Service(self.driver)
-        self.reception = Reception(trade, {"browse": 0}, {"acme": 0}, self.lobby, self.driver.take,
+        self.reception = Reception(context, {"browse": 0}, {"acme": 0}, self.admission, self.driver.take,
                                    lambda: self.service.stage is not Stage.LAME_DUCK)
         self.service.started()
         self.list(a="127.0.0.1:1", b="127.0.0.1:2")
--- a/tests/test_lobby_model.py
+++ b/tests/test_admission_model.py
@@ -11,7 +11,7 @@
 from twisted.internet import error
 
 from scaledeal import interface as api
-from scaledeal.net.lobby import CLOSING, FAIR, LOBBY_SHARE, OWN
+from scaledeal.net.admission import CLOSING, FAIR, IDLE_SHARE, OWN
 
 MOST = 100
 OWED = 3.0  # seconds from its connecting in which a bad client is answered or closed
@@ -36,13 +36,13 @@
     def __init__(self) -> None:
         super().__init__()
         self.bench = Bench()
-        self.bench.lobby.most = MOST
+        self.bench.admission.most = MOST
         self.bad: list[Bad] = []
         self.good: list[Wire] = []
         self.ids = 0
 
     def held(self) -> int:
-        """Return the descriptors in use: a client with a request has a proxy pass as well."""
+        """Return the descriptors in use: a client with a request has an attempt as well."""
         wires = [w for w in [*(b.wire for b in self.bad), *self.good] if not w.lost]
         return len(wires) + sum(not w.lost for w in self.good)
 
@@ -69,7 +69,7 @@
     def a_client_asks(self) -> None:
         self.bench.reactor.advance(FAIR + 0.01)  # those who came in one burst with it may have taken all
         self.flush()
-        if 2 * (len(self.good) + 1) + OWN + MOST // LOBBY_SHARE > MOST:
+        if 2 * (len(self.good) + 1) + OWN + MOST // IDLE_SHARE > MOST:
             return
         self.ids += 1
         wire = self.bench.client()
@@ -82,7 +82,7 @@
         # Guards against one that takes 2 s to write being taken for one of those that never end their line.
         self.bench.reactor.advance(FAIR + 0.01)
         self.flush()
-        if 2 * (len(self.good) + 1) + OWN + MOST // LOBBY_SHARE > MOST:
+        if 2 * (len(self.good) + 1) + OWN + MOST // IDLE_SHARE > MOST:
             return
         self.ids += 1
         line = b"OPEN a%d 7f3a c=browse,d=80000000\r\n" % self.ids
@@ -122,11 +122,11 @@
         for _ in range(80):
             self.bench.reactor.advance(0.05)
             self.flush()
-        assert all(bad.wire.lost for bad in self.bad) and not self.bench.lobby.present()
-        assert not self.bench.lobby.going and self.bench.pool.out == 0
+        assert all(bad.wire.lost for bad in self.bad) and not self.bench.admission.present()
+        assert not self.bench.admission.going and self.bench.pool.out == 0
         for wire in self.good:
             wire.lose(error.ConnectionLost())
-        assert self.bench.lobby.asked == 0 and not self.bench.reception.ids
+        assert self.bench.admission.asked == 0 and not self.bench.reception.ids
 
 
 def test_bad_clients_in_any_number_starve_nobody():
@@ -138,17 +138,17 @@
 def test_two_processes_of_one_relay_never_hold_more_than_its_descriptors():
     old, new = Bench(), Bench()
     for each in (old, new):
-        each.lobby.most = 2 * MOST
+        each.admission.most = 2 * MOST
     for number in range(20):
         old.client().receive(b"OPEN a%d 7f3a c=browse,d=80000000\r\n" % number)
     asking = [old.client() for _ in range(9)]
     # The old one takes nobody from here on; the new one gets what is left even if all who are there ask.
-    spare = old.lobby.spare()
-    new.lobby.lent = new.lobby.most - spare
+    spare = old.admission.spare()
+    new.admission.lent = new.admission.most - spare
     for number, each in enumerate(asking):
         each.receive(b"OPEN b%d 7f3a c=browse,d=80000000\r\n" % number)
     came = [wire for _ in range(3 * MOST) if (wire := new.knock())]
     new.reactor.advance(0)  # those that gave way are closed
-    held = OWN + 2 * old.lobby.asked + OWN + sum(not wire.lost for wire in came)
-    assert old.lobby.asked == 29 and came and held <= 2 * MOST
-    assert old.lobby.spare() == spare, "a guest who asks was counted as such"
+    held = OWN + 2 * old.admission.asked + OWN + sum(not wire.lost for wire in came)
+    assert old.admission.asked == 29 and came and held <= 2 * MOST
+    assert old.admission.spare() == spare, "an idle client who asks was counted as such"
--- a/tests/test_vigil.py
+++ b/tests/test_discovery_watch.py
@@ -11,11 +11,11 @@
 from twisted.internet.task import Clock
 
 from scaledeal import interface as api
-from scaledeal.net import farm
+from scaledeal.net import discovery_watch
 from scaledeal.net.driver import Driver
 from scaledeal.net.figures import Figures
 from scaledeal.net.roster import Calendar
-from scaledeal.net.vigil import SILENT_TOLD, WAIT_TOLD, Vigil
+from scaledeal.net.watch_times import SILENT_TOLD, WAIT_TOLD, WatchTimes
 
 RELAYS, ASK_WITHIN, GRACE = 230, 10.0, 1.0
 WINDOW = GRACE + 0.05  # the rule on sockets, in seconds
@@ -91,14 +91,14 @@
 class Fleet:
     def __init__(self, monkeypatch: pytest.MonkeyPatch, pushed: bool, all_call: float, queue: float,
                  relays: int = RELAYS) -> None:
-        monkeypatch.setattr(farm, "readBody", lambda response: succeed(response.body))
+        monkeypatch.setattr(discovery_watch, "readBody", lambda response: succeed(response.body))
         self.clock = Clock()
         self.clock.advance(1000)
         self.discovery = Discovery(self.clock, 0.0 if pushed else all_call, queue)
         self.late: dict[int, float] = {}  # when each relay's module was told of the drain
         self.farms = [self.relay(number, pushed) for number in range(relays)]
 
-    def relay(self, me: int, pushed: bool) -> farm.Farm:
+    def relay(self, me: int, pushed: bool) -> discovery_watch.DiscoveryWatch:
         settings = api.Settings(classes=(api.RequestClass(aim=1, deadline=1),), siblings=RELAYS, me=me,
                                 ask_discovery=not pushed)
         driver = Driver(self.clock, settings, me, Figures(("c",)), lambda: int(self.clock.seconds() * 1e9))
@@ -108,8 +108,8 @@
                 self.late.setdefault(me, self.clock.seconds())
             driver.listed(event, addresses)
 
-        made = farm.Farm(self.clock, "h", 1, (), Calendar(0, 0), listed,  # type: ignore[arg-type]
-                         Vigil(pushed, ASK_WITHIN, GRACE, me / RELAYS))
+        made = discovery_watch.DiscoveryWatch(self.clock, "h", 1, (), Calendar(0, 0), listed,  # type: ignore[arg-type]
+                         WatchTimes(pushed, ASK_WITHIN, GRACE, me / RELAYS))
         made.agent = SimpleNamespace(request=lambda _, url: self.discovery.request(
             me, url.decode().partition("members")[2]))
         driver.watch = made.watch
@@ -167,10 +167,10 @@
     fleet.run(3)
     watch, call = fleet.farms[0], fleet.discovery.open.pop(0)[0]
     if body is None:
-        monkeypatch.setattr(farm, "readBody", lambda response: Deferred(lambda _: None))
+        monkeypatch.setattr(discovery_watch, "readBody", lambda response: Deferred(lambda _: None))
     fleet.discovery.silence()
     fleet.discovery.reply(call, 200, body or b"x")
-    monkeypatch.setattr(farm, "readBody", lambda response: succeed(response.body))
+    monkeypatch.setattr(discovery_watch, "readBody", lambda response: succeed(response.body))
     assert watch.index == 1
     fleet.run(3)
     assert why in caplog.text
@@ -179,6 +179,6 @@
 
 def test_settings_without_a_window_or_with_a_long_span_give_calls_that_can_be_answered():
     # Guards against an agent that is asked without a pause, and against waits that discovery does not take.
-    agent = Vigil(True, 0.0, 0.0, 0.0)
+    agent = WatchTimes(True, 0.0, 0.0, 0.0)
     assert agent.patience(0.0) > 0.05 and agent.pause() > 0.02
-    assert max(Vigil(False, 600.0, 1.0, place / 9).wait() for place in range(9)) == 60.0
+    assert max(WatchTimes(False, 600.0, 1.0, place / 9).wait() for place in range(9)) == 60.0
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -12,14 +12,14 @@
 from twisted.internet.task import Clock
 
 from scaledeal import interface as api
-from scaledeal.net import farm, wording
+from scaledeal.net import discovery_watch, wording
+from scaledeal.net.admission import CLOSING, OWN, PROBES, SUMMARY, most_descriptors
 from scaledeal.net.buffers import LINE, BufferPool
 from scaledeal.net.delays import Delays
 from scaledeal.net.lines import DISCARDED, LINGER, STALL, LineLink
 from scaledeal.net.load_lines import LoadLines
-from scaledeal.net.lobby import CLOSING, OWN, PROBES, SUMMARY, most_descriptors
 from scaledeal.net.roster import Calendar, Endpoint, Roster, entries
-from scaledeal.net.vigil import Vigil
+from scaledeal.net.watch_times import WatchTimes
 
 OPEN = b"OPEN 9b1f 7f3a c=browse,d=800,g=5c0f\r\n"
 
@@ -451,19 +451,19 @@
         return call
 
 
-def a_farm() -> tuple[farm.Farm, list[api.MembershipKind]]:
+def a_watch() -> tuple[discovery_watch.DiscoveryWatch, list[api.MembershipKind]]:
     told: list[api.MembershipKind] = []
-    made = farm.Farm(Clock(), "127.0.0.1", 1, (), Calendar(0, 0), lambda event, _: told.append(event.kind),
-                     Vigil(False, 10.0, 1.0, 0.0))
+    made = discovery_watch.DiscoveryWatch(Clock(), "127.0.0.1", 1, (), Calendar(0, 0),
+                                          lambda event, _: told.append(event.kind), WatchTimes(False, 10.0, 1.0, 0.0))
     made.agent = Calls()
     return made, told
 
 
 def test_a_farm_that_another_took_over_from_tells_nothing_more(monkeypatch):
     # Guards against the old discovery's late answer, or its failure, reaching the module after the new list.
-    monkeypatch.setattr(farm, "readBody", lambda response: succeed(response.body))
+    monkeypatch.setattr(discovery_watch, "readBody", lambda response: succeed(response.body))
     for late in (succeed, fail):
-        watch, told = a_farm()
+        watch, told = a_watch()
         watch.watch()
         (url, call), = watch.agent.out
         assert url.endswith("/catalog/members"), "no version is known there yet"
@@ -475,8 +475,8 @@
 
 
 def test_the_version_of_a_list_is_kept_over_a_failed_call(monkeypatch):
-    monkeypatch.setattr(farm, "readBody", lambda response: succeed(response.body))
-    watch, told = a_farm()
+    monkeypatch.setattr(discovery_watch, "readBody", lambda response: succeed(response.body))
+    watch, told = a_watch()
     watch.watch()
     watch.agent.out[0][1].errback(ConnectionError("refused"))
     watch.watch()
@@ -499,6 +499,6 @@
         clients += 1
         client.receive(OPEN.replace(b"9b1f", b"%x" % clients))
         held = [wire for wire in bench.reactor.up if not wire.lost and not wire.closing]
-        assert OWN - PROBES + len(held) + clients <= 256 + CLOSING, f"{clients} clients, each with its proxy pass"
+        assert OWN - PROBES + len(held) + clients <= 256 + CLOSING, f"{clients} clients, each with its attempt"
     assert clients == (256 - OWN) // 2, "all that there is room for"
     assert bench.probes.held() <= PROBES, "clients had to go for idle probes"
