Bound what a relay has not heard at 6 s, and begin no attempt for a client that left

Cause, discovery: a failed call was told to the module (LOST), whose back-off of up to 4 s (policy.py, _membership) came on top of a 4 s time-out and a 2 s connect, and went on while discovery refused for want of time: the last of 230 relays heard 10.6 s after a reset, more than 6 s and the grace. Waits of 4 to 14 s left a watch that fell silent unnoticed for as long. A body was read without a bound in bytes. A restarted relay said yes to the front on the list of its file. Cause, clients: a line that came before the answer paused the client's reading (user_agent.py, line_came), which hid its end; a connecting attempt, or a first line not written whole, was left to the module's cancel, which the settings may forbid (transaction.py, gone). Change: read on, 16 lines at most; withdraw what is unsent as cancelled.

--- a/scaledeal/net/attempt.py
+++ b/scaledeal/net/attempt.py
@@ -88,10 +88,10 @@
         """Stop waiting."""
         self._stop(api.Result.CANCELLED)
 
-    def withdraw(self) -> None:
-        """Give up what has not been sent yet."""
-        if self.stage is Stage.CONNECTING:
-            self._stop(api.Result.CONNECT_FAILED)
+    def withdraw(self, result: api.Result = api.Result.CONNECT_FAILED) -> None:
+        """Give up what has not been sent yet: a first line of which the last byte is not written can't run."""
+        if self.stage in (Stage.CONNECTING, Stage.SENDING):
+            self._stop(result)
 
     def leave(self, broke: bool) -> None:
         """End a connection that stands: the user agent's side is over."""
--- a/scaledeal/net/discovery_watch.py
+++ b/scaledeal/net/discovery_watch.py
@@ -9,9 +9,10 @@
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import Agent, HTTPConnectionPool
 
 from scaledeal import interface as api
+from scaledeal.net.http_body import TooLongError, read_body
 from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.roster import Calendar, Roster, entries
 from scaledeal.net.watch_times import BODY, WatchTimes
@@ -20,34 +21,48 @@
 
 Tell = Callable[[api.Membership, dict[str, str]], None]
 
+LIST = 4 << 20  # bytes of the longest answer: 1,024 servers, each on a line as long as the protocol allows
+BUSY = 503  # what discovery answers to a call that would wait too long for its turn
+CONNECT = 2.0  # seconds that a connection to discovery may take
+
+
+class BusyError(ConnectionError):
+    """Discovery answered that it has no time for this call."""
+
+
+class NoListError(ConnectionError):
+    """Discovery answered something else than a list."""
+
 
 class DiscoveryWatch:
-    """One watch at a time, which begins with a call that doesn't wait.
+    """One watch at a time, which begins with a call that doesn't wait and is made good until it is closed.
 
-    A watch that falls silent is opened anew at once. Any other failure ends it: it is told as LOST and made good when
-    the decision module says so, but for an agent on this machine, which is asked again and again at no cost.
-    It speaks with one discovery. Another discovery is another watch: its versions are counted on its own.
+    A call that falls silent is made anew at once, one that fails after a pause of ``WatchTimes``; that discovery can't
+    be reached is told as LOST. It speaks with one discovery. Another is another watch: its versions are its own.
     """
 
     def __init__(self, reactor: Reactor, host: str, port: int, zones: tuple[str, ...], calendar: Calendar,
-                 tell: Tell, times: WatchTimes) -> None:
+                 tell: Tell, times: WatchTimes, unix: Callable[[], float]) -> None:
         self.reactor = reactor
         self.base = f"http://{host}:{port}/catalog/members"
         self.zones = zones
         self.calendar = calendar
         self.tell = tell
         self.times = times
+        self.unix = unix  # seconds on the clock that all machines read
         self.index: int | None = None  # version of the list held; none before the whole list has come
         self.watching = False
         self.closed = False
         self.pool = HTTPConnectionPool(reactor, persistent=True)
-        self.pool.retryAutomatically = False  # a failed call is made again here, or where the decision module says so
+        self.pool.retryAutomatically = False  # a failed call is made again here, at its time
         self.pool.maxPersistentPerHost = 1
-        self.agent: Any = Agent(reactor, connectTimeout=2.0, pool=self.pool)
+        self.agent: Any = Agent(reactor, connectTimeout=CONNECT, pool=self.pool)
         self.asked: Deferred[Any] | None = None  # the call that is out
+        self.why = ""  # why the last one failed
         self.waits = 0.0  # seconds that it may wait for news
         self.begun = False  # whether its answer has begun
-        self.timer: Timer | None = None  # ends the call that is out, or begins the next one of an agent
+        self.began = 0.0  # when it was made, in ``unix``
+        self.timer: Timer | None = None  # ends the call that is out, or begins the next one
 
     def start_with(self, known: Roster, whole: bool) -> None:
         """Tell the list as it was last held, and go on from there or ask for the whole of it."""
@@ -55,7 +70,7 @@
         self._tell(api.MembershipKind.INITIAL, known)
 
     def watch(self) -> None:
-        """Ask for changes from here on, until a call fails; for the whole list where none is held yet."""
+        """Ask for changes from here on, until closed; for the whole list where none is held yet."""
         if not self.watching and not self.closed:
             self.watching = True
             self._call(0.0)
@@ -69,7 +84,7 @@
         self.pool.closeCachedConnections()
 
     def _call(self, waits: float) -> None:
-        self.waits, self.begun = waits, False
+        self.waits, self.begun, self.began = waits, False, self.unix()
         query = "" if self.index is None else f"?after={self.index}&wait_ms={int(waits * 1000)}"
         asked: Deferred[Any] = self.agent.request(b"GET", (self.base + query).encode())
         self.asked = asked
@@ -90,7 +105,7 @@
         # Guards against an answer that never ends: it may hold news, which counts as told from when it is written.
         self._give_up_after(BODY, asked)
         self.begun = True
-        body: Deferred[bytes] = readBody(response)
+        body: Deferred[bytes] = read_body(response, LIST)
         if response.code != 200:
             body.addCallback(lambda _: _refused(response.code))
         return body
@@ -102,7 +117,7 @@
         try:
             roster = msgspec.json.decode(body, type=Roster)
         except msgspec.MsgspecError as error:
-            self._lost(f"answer not understood: {error}")
+            self._again(f"answer not understood: {error}", self.times.pause(0.0, False))
             return
         if not roster.snapshot and self.index is not None and roster.index < self.index:
             # Guards against changes that no longer follow on from the list held here.
@@ -112,23 +127,40 @@
             return
         self.index = roster.index
         if self.times.missed:
-            log.info("discovery list is told again")
+            log.info("discovery list is told again after %d failed calls", self.times.missed)
         self.times.answered()
         # The next call goes out before the list is told: a watch goes on only if it comes within 200 ms.
-        self._call(self.times.wait())
+        self._call(self.times.wait(self.unix()))
         self._tell(api.MembershipKind.FULL if roster.snapshot else api.MembershipKind.CHANGES, roster)
 
     def _failed(self, failure: Failure) -> None:
         silent = self.timer is not None and not self.timer.active()
         self._stop_timer()
-        why = self._missed() if silent else failure.getErrorMessage() or repr(failure.value)
-        if silent and self.waits and not self.closed:
-            # Guards against news that counts as told though it never came: the module would wait before it asks
-            # again, and so long a watch that has fallen silent does not let it.
-            log.warning("discovery watch fell silent: %s; opened anew", why)
+        if self.closed:
+            self.watching = False
+        elif silent:
+            self._fell_silent()
+        elif failure.check(BusyError):
+            self._again(failure.getErrorMessage(), self.times.refused())
+        else:
+            broke = failure.check(NoListError, TooLongError) is None
+            took = 0.0 if self.waits else self.unix() - self.began
+            self._again(failure.getErrorMessage() or repr(failure.value), self.times.pause(took, broke))
+            if broke:
+                self.tell(api.Membership(api.MembershipKind.LOST), {})
+
+    def _fell_silent(self) -> None:
+        """Guard against news that counts as told though it never came: ask again, an agent after its pause."""
+        why, unheard = self._missed(), not self.begun
+        if not self.times.pushed or self.waits:
+            if not self.times.missed:
+                log.warning("discovery watch fell silent: %s; opened anew", why)
+            self.times.silent()
             self._call(0.0)
         else:
-            self._lost(why)
+            self._again(why, self.times.pause(0.0))
+        if unheard:
+            self.tell(api.Membership(api.MembershipKind.LOST), {})
 
     def _missed(self) -> str:
         if self.begun:
@@ -136,19 +168,13 @@
         late = self.times.patience(self.waits) - self.waits
         return f"no answer {late:.1f} s after " + (f"a wait of {self.waits:.1f} s" if self.waits else "the call")
 
-    def _lost(self, why: str) -> None:
+    def _again(self, why: str, pause: float) -> None:
+        """Ask again after a pause; of a row of like failures the first is logged, and the number of all at its end."""
         self.asked = None
-        if self.closed:
-            self.watching = False
-        elif self.times.pushed:
-            # Guards against a list that counts as told once the agent is back: it is asked again all the while.
-            if not self.times.missed:
-                log.warning("discovery list lost: %s; the agent is asked again until it answers", why)
-            self.timer = self.reactor.callLater(self.times.pause(), self._call, 0.0)
-        else:
-            self.watching = False
-            log.warning("discovery list lost: %s", why)
-            self.tell(api.Membership(api.MembershipKind.LOST), {})
+        if self.times.missed <= 1 or why != self.why:
+            log.warning("discovery list lost: %s; asked again until it is told", why)
+        self.why = why
+        self.timer = self.reactor.callLater(pause, self._call, 0.0)
 
     def _tell(self, kind: api.MembershipKind, roster: Roster) -> None:
         addresses = {each.name: each.address for each in roster.endpoints if each.address}
@@ -156,4 +182,4 @@
 
 
 def _refused(code: int) -> bytes:
-    raise ConnectionError(f"discovery answered {code}")
+    raise (BusyError if code == BUSY else NoListError)(f"discovery answered {code}")
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -32,7 +32,7 @@
 from scaledeal.net.system import System
 from scaledeal.net.trace import open_trace
 from scaledeal.net.user_agent import Reception
-from scaledeal.net.watch_times import WatchTimes
+from scaledeal.net.watch_times import GOLDEN, WatchTimes
 from scaledeal.net.wording import report_reader
 
 log = logging.getLogger("scaledeal.relay")
@@ -42,7 +42,7 @@
 HANDING = 1.0  # seconds after SIGTERM for which connections are handed to a new version before any is moved
 LONGEST_DEADLINE = 3.0  # seconds; SIGKILL follows SIGTERM by the longest deadline, or this, plus 0.7 or more
 LEFT_OVER = 0.1  # seconds after that deadline at which the last standing client is moved
-LIST_TIME = 4.0  # seconds that a successor waits for the whole list; it must serve within 6 s of its start
+LIST_TIME = 4.0  # seconds that a start waits for a list; a successor must serve within 6 s of its start
 LAST_CALL = 0.45  # seconds after that deadline at which whatever is left is ended
 
 
@@ -70,7 +70,7 @@
                                                    admission.for_probes)
         admission.probing, admission.end_probes = probes.held, probes.give_back
         self.door = Door(Reception(context, classes, tenants, admission, self.driver.take,
-                                   lambda: self.service.stage is not Stage.LAME_DUCK))
+                                   lambda: self.service.stage not in (Stage.STARTING, Stage.LAME_DUCK)))
         self.port: Port | None = None
         self.service = Service(self.driver)
         self.operators = Operators(reactor, pool, {
@@ -130,21 +130,25 @@
             except told.ConfigError as error:
                 self._give_up(error)
                 return
-            self._serve()
+            self._log_listens()
         else:
             family = socket.AF_INET6 if ":" in self.config.listen.host else socket.AF_INET
             self.port = cast(Any, Gate)._fromListeningDescriptor(self.reactor, descriptor, family, self.door)
             os.close(descriptor)
             self.adopted = True
-            # Guards against a list that has aged since the file was written: who says yes knows a fresh one.
             log.info("taking over from the process that serves: waiting for the whole list")
-            self.reactor.callLater(LIST_TIME, self._serve)
+        # Guards against a list that has aged since the file was written: what discovery had 6 s ago counts as told from
+        # the first moment, so who says yes to a front knows a fresh one, unless discovery can't be reached. Whoever
+        # comes before that is served: a front that has not noticed a restart goes on sending clients.
+        self.reactor.callLater(LIST_TIME, self._serve)
 
     def _listed(self, event: api.Membership, addresses: dict[str, str]) -> None:
         self.driver.listed(event, addresses)
         for side in self.sides:
             side.listed(event)
-        if event.kind is api.MembershipKind.FULL:
+        fresh = event.kind is api.MembershipKind.FULL or (
+            not self.adopted and event.kind is not api.MembershipKind.INITIAL)
+        if fresh:
             self._serve()
 
     def _serve(self) -> None:
@@ -154,11 +158,15 @@
         self.service.started()
         if self.adopted:
             self.port.startListening()
+            self._log_listens()
         self.succession.serve(self.port)
         for side in self.sides:
             side.serve()
-        log.info("relay %s listens on %s:%d, %d application servers known", self.config.name,
-                 self.config.listen.host, self.port.getHost().port, len(self.driver.addresses))
+
+    def _log_listens(self) -> None:
+        if self.port is not None:
+            log.info("relay %s listens on %s:%d, %d application servers known", self.config.name,
+                     self.config.listen.host, self.port.getHost().port, len(self.driver.addresses))
 
     def _listen(self, clients: bool, at: told.Address, factory: ServerFactory, what: str) -> Port:
         port = self.system.port(clients, at.port, factory, BACKLOG, at.host, self.reactor)
@@ -183,12 +191,13 @@
     def _watch(self) -> DiscoveryWatch:
         where = self.config.discovery
         return DiscoveryWatch(self.reactor, where.host, where.port, self.config.document.failure_domains, self.calendar,
-                              self._listed, self._times())
+                              self._listed, self._times(), lambda: self.system.unix() / 1e9)
 
     def _times(self) -> WatchTimes:
         settings, rules = self.config.settings, self.config.document.rules
         # Guards against relays in step that were told no number: the seed sets them apart as well.
-        place = settings.me / settings.siblings if settings.siblings > 1 else Random(self.config.seed).random()
+        # By turns of the golden ratio, any of them that come first, or stay, lie evenly as well.
+        place = settings.me * GOLDEN % 1 if settings.siblings > 1 else Random(self.config.seed).random()
         return WatchTimes(not settings.ask_discovery, rules.ask_within / 1e9, rules.drain_grace / 1e9, place)
 
     # A new configuration
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -58,8 +58,8 @@
     def give_up(self) -> None:
         """Stop waiting before the connection stands."""
 
-    def withdraw(self) -> None:
-        """Give up what has not been sent yet: the application server wants nothing new."""
+    def withdraw(self, result: api.Result = api.Result.CONNECT_FAILED) -> None:
+        """Give up what has not been sent yet: the application server wants nothing new, or nobody waits for it."""
 
     def leave(self, broke: bool) -> None:
         """End a connection that stands: the user agent's side is over."""
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -240,6 +240,9 @@
             self._stop_timer()
             if self.ask.standing_at:
                 self.cancel(self.attempts - 1)
+            elif self.current is not None:
+                # Guards against an attempt that begins after its client left; unsent, it needs nobody's leave.
+                self.current.withdraw(api.Result.CANCELLED)
             self.host.post(api.ClientGone(self.handle))
             self._forget_if_over()
 
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -108,11 +108,10 @@
             self._first(line)
         elif self.stage is Stage.ASKED:
             self.early.append(line)
+            # Read on: behind these lines stands the client's end, which its attempts must not outlive.
             if len(self.early) > EARLY:
                 self._leave(False)
                 self._reject("flooded")
-            elif self.wire is not None:
-                self.wire.pauseProducing()
 
     def part_came(self, part: bytes) -> None:
         """Tell the admission of a client that is writing its request."""
@@ -313,8 +312,6 @@
         early, self.early = self.early, []
         for each in early:
             self.line_came(each)
-        if early and self.wire is not None and not self.closing:
-            self.wire.resumeProducing()
         return True
 
     def pass_on(self, line: bytes) -> None:
--- a/scaledeal/quic/sockets/agent.py
+++ b/scaledeal/quic/sockets/agent.py
@@ -62,8 +62,8 @@
         """Stop waiting."""
         self.failed(api.Result.CANCELLED)
 
-    def withdraw(self) -> None:
-        """Send nothing more to a server that wants nothing new, unless it answers what it has."""
+    def withdraw(self, result: api.Result = api.Result.CONNECT_FAILED) -> None:
+        """Send nothing more to a server that wants nothing new or whose client left, unless it answers what it has."""
         if not self.stands:
             self.side.router.freeze(self.flow)
 
