Refuse what is read after a relay has decided to go

Seen by reading: _leave_when_done and _last_call (relay.py) leave 0.1 s for the last answers, in which a new first line was still taken and sent on; the process then went without its answer, which counts as lost. Change: from that decision on the driver refuses whatever is asked for (BUSY), unsent. Tests: tests/test_last_moment.py, a whole relay on a reactor moved by the test; without the check the late request gets no answer. Ruled out: an answer and a deadline, or an end and the refusal, in one turn of the reactor, in either order: one answer each.

--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -42,6 +42,7 @@
         self.load_lines = LoadLines(self.delays.least / 1e6, self.now)
         self.figures = figures
         self.draining = False  # whatever comes up is moved at once
+        self.leaving = False  # whatever is asked for is refused: the process is about to go
         self.prober: Prober | None = None
         self.watch: Callable[[], None] = lambda: None
         self.trace: Trace | None = None
@@ -107,7 +108,11 @@
         self.transactions[transaction.handle] = transaction
         if self.trace is not None:
             self.trace.takes(self.now(), transaction.handle, ask)
-        if ask.standing_at:
+        if self.leaving:
+            # Guards against a request that is read in the last moment and sent on: nobody would answer it. Later, as
+            # its agent does not hold the transaction yet.
+            self.later(0, lambda: transaction.refuse(0))
+        elif ask.standing_at:
             self._resume(transaction)
         else:
             self.post(api.Request(transaction.handle, ask.request_class, ask.deadline, ask.key, ask.group,
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -43,6 +43,7 @@
 LONGEST_DEADLINE = 3.0  # seconds; SIGKILL follows SIGTERM by the longest deadline, or this, plus 0.7 or more
 LEFT_OVER = 0.1  # seconds after that deadline at which the last standing client is moved
 LIST_TIME = 4.0  # seconds that a start waits for a list; a successor must serve within 6 s of its start
+LAST_MOMENT = 0.1  # seconds that clients get to take the last answers
 LAST_CALL = 0.45  # seconds after that deadline at which whatever is left is ended
 
 
@@ -249,14 +250,18 @@
         if self.driver.transactions or asking:
             self.reactor.callLater(0.05, self._leave_when_done)
         else:
-            # The last answers are written; their clients get a moment to take them.
-            self.reactor.callLater(0.1, self._leave)
+            self._leave_soon()
 
     def _last_call(self) -> None:
         for transaction in list(self.driver.transactions.values()):
             transaction.send_away()
             transaction.fail()
-        self.reactor.callLater(0.1, self._leave)
+        self._leave_soon()
+
+    def _leave_soon(self) -> None:
+        """Give the clients of the last answers a moment to take them, and take nothing new."""
+        self.driver.leaving = True
+        self.reactor.callLater(LAST_MOMENT, self._leave)
 
     def _leave(self) -> None:
         if not self.gone:
--- /dev/null
+++ b/tests/test_last_moment.py
@@ -0,0 +1,104 @@
+"""The last moment of a relay: what comes between its decision to go and its end."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from netfakes import FakeReactor, Wire
+from twisted.internet import error
+
+from scaledeal.net import config
+from scaledeal.net.relay import LAST_CALL, LEFT_OVER, LONGEST_DEADLINE, Relay
+from scaledeal.net.system import System
+
+SETTINGS = {"Classes": [{"Name": "browse", "Aim": 300_000_000, "Deadline": 3_000_000_000}], "Discovery": "on_request",
+            "Caps": {"Cancelling": True, "DialTimeout": 250_000_000}}
+OPEN = b"OPEN %x 7f3a c=browse,d=%d,g=5c0f\r\n"
+
+
+class OneRelay:
+    """A whole relay on a reactor whose sockets the test moves."""
+
+    def __init__(self, folder: Path) -> None:
+        self.reactor: Any = FakeReactor()
+        self.reactor.advance(1000)
+        self.stopped = False
+        self.reactor.stop = self._stop
+        entry = {"name": "s0", "address": "127.0.0.1:1"}
+        (folder / "c.json").write_text(json.dumps({"settings": SETTINGS, "known": {"index": 1, "endpoints": [entry]}}))
+        read = config.read({"PROXY_CONFIG": str(folder / "c.json"), "PROXY_LISTEN": "127.0.0.1:0",
+                            "PROXY_DISCOVERY": "127.0.0.1:1"})
+        system = System()
+        port = SimpleNamespace(startListening=lambda: None, stopListening=lambda: None, startReading=lambda: None,
+                               getHost=lambda: SimpleNamespace(port=9))
+        clock = lambda: int(self.reactor.seconds() * 1e9)  # noqa: E731
+        system.monotonic = system.unix = clock  # type: ignore[method-assign]
+        system.port = lambda *_: port  # type: ignore[method-assign, assignment, return-value]
+        self.relay = Relay(self.reactor, read, system)
+        self.relay.start()
+        self.dials = len(self.reactor.dialled)
+
+    def _stop(self) -> None:
+        self.stopped = True
+
+    def client(self, number: int, wait: int = 3000) -> Wire:
+        made = Wire(self.reactor, self.relay.door.buildProtocol(None))
+        made.receive(OPEN % (number, wait))
+        return made
+
+    def attempts(self) -> list[Any]:
+        """Return the attempts at the application server; discovery is dialled on the same reactor."""
+        return [each for each in self.reactor.dialled if each.address == "127.0.0.1:1"
+                and type(each.factory).__name__ == "_Dial"]
+
+    def run(self, seconds: float) -> None:
+        self.reactor.pump([0.01] * round(seconds / 0.01))
+
+
+@pytest.mark.parametrize("held", [False, True])
+def test_a_request_read_after_the_decision_to_go_is_refused_and_not_sent_on(tmp_path: Path, held: bool) -> None:
+    # Guards against a request that is sent on and whose relay is gone before its answer: it counts as lost.
+    one = OneRelay(tmp_path)
+    if held:  # a server that hangs keeps the relay until its last call
+        one.client(1, 60_000)
+        one.attempts()[0].up(one.reactor).flush()
+    one.relay.drain()
+    while not one.relay.driver.leaving:
+        one.run(0.01)
+        assert one.reactor.seconds() < 1000 + LONGEST_DEADLINE + LEFT_OVER + LAST_CALL + 1, "it never goes"
+    before = len(one.attempts())
+    late = one.client(2)
+    one.reactor.advance(0)
+    assert late.lines() == [b"BUSY"] and len(one.attempts()) == before and not one.stopped
+    one.run(0.2)
+    assert one.stopped and one.relay.driver.transactions == {}
+
+
+def test_an_end_that_crosses_the_refusal_is_no_fault(tmp_path: Path) -> None:
+    one = OneRelay(tmp_path)
+    one.relay.drain()
+    while not one.relay.driver.leaving:
+        one.run(0.01)
+    late = one.client(2)
+    late.lose(error.ConnectionLost())
+    one.run(0.2)
+    assert one.stopped and one.relay.driver.transactions == {}
+
+
+@pytest.mark.parametrize("first", ["deadline", "answer"])
+def test_an_answer_and_a_deadline_in_one_turn_give_one_answer(tmp_path: Path, first: str) -> None:
+    one = OneRelay(tmp_path)
+    client = one.client(1, 1000)
+    server = one.attempts()[0].up(one.reactor)
+    server.flush()
+    transaction, = one.relay.driver.transactions.values()
+    turns = [lambda: server.receive(b"UP 1\r\n"), transaction._answer_owed]
+    for turn in turns if first == "answer" else reversed(turns):
+        if not server.lost and not server.closing:
+            turn()
+    words = [line.split(b" ")[0] for line in client.lines()]
+    assert words == ([b"UP"] if first == "answer" else [b"ERR"])
