--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -29,7 +29,7 @@
 
 # Placement
 CHANCE = 0.8  # part of what is put down to chance beyond a cold server's budget that open turns may add to it
-LULL, MOST_COLD, EVEN = 4, 0.7, 0.8  # windows counted; parts: of the room that is cold, of budgets met evenly
+LULL, MOST_COLD = 4, 0.7  # windows over which comers are counted; part of the room that newcomers may be
 STAY_UNDER = 0.7  # utilisation up to which a group keeps to its first server, or is moved to another
 BOUND = 1.25  # multiple of the mean up to which it does where that is high and no newcomer has room
 FULL = 0.9  # utilisation up to which servers share what comes by the room they have
@@ -438,7 +438,7 @@
         holds = self.unit * server.weight / self._mean_charge()
         half = s.overload_factor * holds / s.warm_after / s.siblings / 2
         budget = 2 * half * server.warmth * self.breath
-        if even * server.weight * server.warmth <= EVEN * budget:
+        if even * server.weight * server.warmth <= budget:
             return True
         # Guards against turns open in one breath and others of the next: they lapse as chance covers.
         whole = max(1.0, budget * s.siblings)
