Cap what one gateway sends a newcomer without turns at its own part

Seen: tests/test_lab_runs.py, the kept case COLD_FORGOTTEN, one relay and three servers: a newcomer got 17 connections in 1.2 s on even shares alone (rate over room, at most 6.2 of a budget of 8.6) and fell over. An even share is a guess about others; what a gateway sends itself it knows. Lines at fault: the early return in _cold_room. Change: without turns at most its whole part of the budget in a window, or one connection where that is less.

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -431,21 +431,21 @@
         return bool(server.started) and self._warmth(self.now - server.started) < 1
 
     def _cold_room(self, server: Server, even: float) -> bool:
-        s, age = self.settings, self.now - server.started
+        s, age, load = self.settings, self.now - server.started, self._mean_charge()
         if self.now - self.started < self.breath:
             return False  # guards against a restart of this gateway hiding what it sent just before
         # Guards against a newcomer pushed over by all: each has its part of what fills it over its warm-up.
-        holds = self.unit * server.weight / self._mean_charge()
-        half = s.overload_factor * holds / s.warm_after / s.siblings / 2
+        half = s.overload_factor * self.unit * server.weight / load / s.warm_after / s.siblings / 2
         budget = 2 * half * server.warmth * self.breath
-        if even * server.weight * server.warmth <= budget:
+        server.turns = [each for each in server.turns if each[0] > self.now - self.breath]
+        used = sum(c for _, c in server.turns)
+        if even * server.weight * server.warmth <= budget and used < max(1.0, budget):
             return True
         # Guards against turns open in one breath and others of the next: they lapse as chance covers.
         whole = max(1.0, budget * s.siblings)
         end = age + int(self.breath * min(1.0, CHANCE * (2 * math.sqrt(whole) + 2) / whole))
-        server.turns = [each for each in server.turns if each[0] > self.now - end + age]
         due = [math.floor(server.phase + half * at * (s.cold_share + self._warmth(at))) for at in (age, end)]
-        return sum(c for _, c in server.turns) < due[1] - due[0]
+        return sum(c for at, c in server.turns if at > self.now - end + age) < due[1] - due[0]
 
     # Placement
 
