Give each gateway slots at cold servers, counted for a crowd that comes again at once

Balancer._cold_room let each relay send one connection by the rule of even shares, however small its part was (used < max(1.0, budget)), so that about 28 relays sent one or two each to one cold server. The share was next to nothing at a relay that was idle before, and counted the room of servers that had just died. Change: scaledeal/cold_start.py is the budget, and replaces turns, even shares and counted arrivals. Slots open over time and lapse; how many are given out follows from how many relays would use one if half of all connections came again at once. Requests go to open slots first where warm servers are asked over half, and wait half a window for one where all are crowded. A report that is no utilisation is not taken, a load that is not finite neither, and no list makes a server older.

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from scaledeal import interface as api
+from scaledeal.cold_start import MOST_TOLD, ColdStart, Slots
 
 MS, SECOND = 1_000_000, 1_000_000_000
 
@@ -28,8 +29,7 @@
 ESTIMATE_WINDOW = 20 * SECOND  # window of the admission estimate that rungs are fractions of
 
 # Placement
-CHANCE = 0.8  # part of what is put down to chance beyond a cold server's budget that open turns may add to it
-LULL, MOST_COLD = 4, 0.7  # windows over which comers are counted; part of the room that newcomers may be
+SLOT_WAIT, NEEDED = 0.5, 0.5  # windows to wait for a slot; mean load from which none is left to lapse
 STAY_UNDER = 0.7  # utilisation up to which a group keeps to its first server, or is moved to another
 BOUND = 1.25  # multiple of the mean up to which it does where that is high and no newcomer has room
 FULL = 0.9  # utilisation up to which servers share what comes by the room they have
@@ -105,6 +105,7 @@
     answered: bool = False  # nothing more is owed or sent
     asked_at: int = 0  # when reports were first asked for to place it
     roomy: bool = False  # whether its pair, when last looked for, had room
+    since: int = 0  # when it came
 
 
 @dataclass(slots=True, eq=False)
@@ -114,6 +115,7 @@
     id: str
     untold: list[int]  # connections of unknown load, by class
     number: int = 0  # digest of its id
+    slots: Slots = field(default_factory=Slots)  # while it is cold
     state: api.ServerState = api.ServerState.LIVE
     started: int = 0
     zone: int = 0
@@ -143,8 +145,6 @@
     probe_at: int = 0
     probe_out: bool = False
     asked_at: int = -SECOND
-    phase: float = 0.0  # while it is cold: this gateway's place in the row of those that take turns at it
-    turns: list[tuple[int, float]] = field(default_factory=list)  # when it was lately sent to, and the charge
 
 
 class Ladder:
@@ -252,8 +252,8 @@
         self.tenant_open = [0] * max(1, len(settings.tenants))
         self.retries, self.probes = RETRY_BURST, PROBE_BURST * settings.may_probe  # what may be sent now
         self.window = self.least_window = self.set_up_time = 0.0  # the last is a set-up's usual time
-        self.breath, self.came = settings.overload_window or SECOND, list[int]()  # when requests came
-        self.step_at = self.watch_at = self.watch_failures = 0
+        self.cold_start = ColdStart(settings)
+        self.step_at = self.watch_at = self.watch_failures = self.slot_timer = 0
         self.bound, self.unit = STAY_UNDER, 0.0  # of a group's server; capacity of weight 1, in units of load
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -289,11 +289,12 @@
         self.live = [s for s in self.servers.values() if s.state is api.ServerState.LIVE]
         self.least_window = max(1.0, WINDOW * len(self.live) / self.settings.siblings / 2)
         self.window = self.window or 2 * self.least_window
+        self._learn_load(0)
         self._retry_held(len(self.held))
 
     def _meet(self, name: str) -> Server:
         server = self.servers[name] = Server(name, [0] * len(self.settings.classes), digest(name))
-        server.phase = (server.number / 2**64 + self.settings.me / self.settings.siblings) % 1
+        server.slots = self.cold_start.begin(self.now, server.number)
         return server
 
     def _list(self, entry: api.ServerEntry) -> None:
@@ -307,7 +308,7 @@
             server.reported, server.delay = -1.0, 0.0
         if entry.state is api.ServerState.DRAINING and server.open:
             self.draining.setdefault(server, self.now)
-        server.state, server.started = entry.state, entry.started
+        server.state, server.started = entry.state, max(server.started, entry.started)
         server.zone, server.stripe = entry.zone, entry.cell
         server.weight = entry.weight if self.settings.fixed_weights and entry.weight > 0 else 1.0
 
@@ -358,7 +359,7 @@
     def _report(self, server: Server, values: tuple[float, ...]) -> None:
         told = dict(zip(self.settings.report_fields, values, strict=False))
         value = told.get(api.Field.UTILISATION, told.get(api.Field.BUSY))
-        if value is None:
+        if value is None or not 0 <= value <= MOST_TOLD:
             return
         server.reported, server.reported_at = value, self.now
         self.known[server.id] = server
@@ -367,6 +368,9 @@
         # Guards against no capacity learned where reports count no connections: others' loads are like ours.
         held = self._own_load(server) * self.settings.siblings
         load = told[api.Field.INFLIGHT] * self._mean_charge() if api.Field.INFLIGHT in told else held
+        if not self.cold(server):
+            count = told.get(api.Field.INFLIGHT, len(server.open) * self.settings.siblings)
+            self.cold_start.report(server.weight, count, value)
         # Guards against a capacity in a unit of its own: without a known load each connection counts as 1.
         if value > 0.05 and load and any(self.load_count) and not self.cold(server):
             unit = load / value / server.weight
@@ -387,7 +391,7 @@
             server.limit = self._own_load(server) if event.amount >= server.delay else server.limit
             server.delay, server.delay_at = event.amount, self.now
             return
-        if event.amount <= 0:
+        if not 0 < event.amount < math.inf:
             return
         first = not any(self.load_count)
         if not flight.load:
@@ -421,48 +425,46 @@
 
     # Cold-start budget
 
-    def _warmth(self, age: int) -> float:
-        """Return the part of its capacity that a server of this age has at the least."""
-        s = self.settings
-        return s.cold_share + (1 - s.cold_share) * age / s.warm_after if age < s.warm_after else 1.0
-
     def cold(self, server: Server) -> bool:
         """Tell whether a server may still be cold."""
-        return bool(server.started) and self._warmth(self.now - server.started) < 1
-
-    def _cold_room(self, server: Server, even: float) -> bool:
-        s, age, load = self.settings, self.now - server.started, self._mean_charge()
-        if self.now - self.started < self.breath:
-            return False  # guards against a restart of this gateway hiding what it sent just before
-        # Guards against a newcomer pushed over by all: each has its part of what fills it over its warm-up.
-        half = s.overload_factor * self.unit * server.weight / load / s.warm_after / s.siblings / 2
-        budget = 2 * half * server.warmth * self.breath
-        server.turns = [each for each in server.turns if each[0] > self.now - self.breath]
-        used = sum(c for _, c in server.turns)
-        if even * server.weight * server.warmth <= budget and used < max(1.0, budget):
-            return True
-        # Guards against turns open in one breath and others of the next: they lapse as chance covers.
-        whole = max(1.0, budget * s.siblings)
-        end = age + int(self.breath * min(1.0, CHANCE * (2 * math.sqrt(whole) + 2) / whole))
-        due = [math.floor(server.phase + half * at * (s.cold_share + self._warmth(at))) for at in (age, end)]
-        return sum(c for at, c in server.turns if at > self.now - end + age) < due[1] - due[0]
+        return server.warmth < 1
+
+    def _learn_load(self, passed: int) -> None:
+        for server in self.live:
+            server.warmth = self.cold_start.warmth(self.now - server.started) if server.started else 1.0
+        told = ((s.weight * s.warmth, None if self.cold(s) else self.utilisation(s)) for s in self.live)
+        self.cold_start.learn(passed, told)
+
+    def _awaits_slot(self, flight: Flight) -> bool:
+        """Tell whether a slot comes soon enough to wait for where all are crowded, and set its timer."""
+        waits = [self.cold_start.wait(s.slots, s.weight * s.warmth) for s in self.live if self._takes(s)]
+        last = flight.since + SLOT_WAIT * self.cold_start.window
+        last = min(last, flight.deadline - self.set_up_time - 2 * TICK)
+        if not waits or len(self.held) > WAITING or self.now + min(waits) > last:
+            return False
+        if self.slot_timer <= self.now:
+            self.slot_timer = self.now + min(waits)
+            self.out.append(api.SetTimer(min(waits), 1))
+        return True
 
     # Placement
 
     def _ready(self, flight: Flight) -> list[Server]:
         """Return the servers a new connection may go to; the doubtful ones only when there are no others."""
         live = [s for s in self.live if self._allowed(flight, s)] if flight.attempts else self.live
-        return self._in_rotation(live)
+        ready = self._in_rotation(live)
+        # Guards against slots that lapse while warm servers are asked too much.
+        newcomers = [s for s in ready if self._takes(s)] if self.cold_start.mean >= NEEDED else []
+        return newcomers or ready
+
+    def _takes(self, server: Server) -> bool:
+        return server.warmth < 1 and not self._suspect(server) and (self.utilisation(server) or 0.0) <= FULL
 
     def _in_rotation(self, live: list[Server]) -> list[Server]:
-        for server in live:
-            server.warmth = self._warmth(self.now - server.started) if server.started else 1.0
-        # Guards against newcomers left idle: an even share of all that comes may be within their budget.
-        rate = max(sum(at > self.now - self.breath for at in self.came) - 1, len(self.came) / LULL)
-        room = sum(s.weight * s.warmth for s in live if (self.utilisation(s) or 0.0) <= STAY_UNDER)
-        new = sum(s.weight * s.warmth for s in live if s.warmth < 1)
-        even = rate / room if 0 < new <= MOST_COLD * room else math.inf
-        live = [s for s in live if s.warmth == 1 or self._cold_room(s, even)]
+        # Guards against a newcomer pushed over by all; a restarted gateway forgot what it sent just before.
+        knows, is_open = self.now - self.started >= self.cold_start.window, self.cold_start.open
+        live = [s for s in live
+                if s.warmth == 1 or (knows and is_open(self.now, s.slots, s.weight * s.warmth))]
         # Guards against each gateway learning by a set-up which server answers nothing.
         live = [s for s in live if not s.probe_out or self.now - s.asked_at < PATIENCE] or live
         return [s for s in live if not self._suspect(s)] or live
@@ -521,14 +523,13 @@
         tenant = event.tenant if event.tenant < len(self.tenant_open) else 0
         cell = (event.request_class, self._over_share(tenant))
         flight = Flight(event.request, event.request_class, group or event.key or event.request, cell,
-                        tenant, deadline, group, load=event.load_hint)
+                        tenant, deadline, group, load=event.load_hint, since=self.now)
         self.flights[flight.id] = flight
         return flight
 
     def _request(self, event: api.Request) -> None:
         if event.request in self.flights:
             return
-        self.came = [at for at in self.came if at > self.now - LULL * self.breath] + [self.now]
         flight = self._flight(event, event.deadline)
         flight.returning = event.returning
         # Guards against many gateways probing for few clients: requests pay, returning ones for placing.
@@ -573,7 +574,7 @@
     def _place(self, flight: Flight) -> None:
         # Guards against a dead gateway's clients all coming at once: more than a shared store can take.
         pair = self._pair(flight, self._ready(flight)) if self.pending < int(self.window) else []
-        if pair and not self._asks(flight, pair):
+        if pair and (flight.roomy or not self._awaits_slot(flight)) and not self._asks(flight, pair):
             self._send(flight, self._choose(flight, pair))
         elif not pair and flight.deadline - self.now <= self.set_up_time + 2 * TICK:
             self._give_up(flight, "no server in time")  # guards against holding a repeat until after its time
@@ -601,8 +602,7 @@
         server.pending += 1
         self.pending += 1
         self._attach(server, flight)
-        if self.cold(server):
-            server.turns.append((self.now, self._charge(flight.cls) / self._mean_charge()))
+        del server.slots.open[:1]
         self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self.out.append(api.Send(flight.id, server.id, max(1, timeout)))
 
@@ -663,7 +663,7 @@
 
     def _again(self, flight: Flight) -> None:
         spent = len(flight.attempts) >= self.settings.max_attempts or self.retries < 1
-        if spent or flight.deadline - self.now <= self.set_up_time or not self._ready(flight):
+        if spent or flight.deadline - self.now <= self.set_up_time or not self.live:
             self._give_up(flight, "retries spent" if spent else "no time to retry")
         else:
             self.retries -= 1
@@ -741,6 +741,7 @@
             self._probe(due, PROBE_KEPT)
         warm = not any(map(self.cold, self.live))
         self.bound = max(STAY_UNDER, warm * BOUND * self.ladder.last_index / 100)
+        self._learn_load(TICK)
         self._sample()
         self._empty()
         self._move()
@@ -828,7 +829,7 @@
     def _has_room(self, flight: Flight, leaves: Server) -> bool:
         pair = self._pair(flight, self._ready(flight))
         target = self._choose(flight, pair) if pair else leaves
-        bad = target is leaves or self._saturated(target) or self.cold(target)
+        bad = target is leaves or self._saturated(target)
         return not bad and (self.utilisation(target) or 0.0) <= STAY_UNDER
 
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -12,7 +12,7 @@
 from sites import SITES, Site
 
 from scaledeal import interface as api
-from scaledeal.policy import Balancer, Server, digest, mixed, rendezvous
+from scaledeal.policy import SLOT_WAIT, Balancer, Server, digest, mixed, rendezvous
 from scaledeal.settings import Document
 
 REPORTS = replace(BASE, may_probe=True, report_source=api.Source.PROBES, groups=True,
@@ -612,6 +612,8 @@
         driver.event(api.ProbeResult("new", api.Result.OK, MS, (0.0,) * len(told)))
         fill(driver, 1, group=f"n{turn}")
         driver.wait(SECOND // 20)
+        for name in driver.out():  # those that waited for a slot
+            driver.establish(name)
     got = sum(isinstance(a, api.Send) and a.server == "new" for _, a in driver.seen)
     assert got >= 5, f"{got} of 200 went to the newcomer while it was cold"
 
@@ -636,6 +638,7 @@
     driver.balancer.ladder.rung = 0
     report(driver, **{server: asked if server == home else 0.8 for server in order})
     driver.arrive("second", group="g")
+    driver.wait(newcomer * int(SLOT_WAIT * BASE.overload_window))  # it may wait for a slot at the newcomer
     assert (driver.server_of("second") == home) is stays
 
 
