A reload goes over to its discovery whole; endless headers are bounded

Read and forced, with the real HTTP client on a reactor whose sockets the test moves: - a SIGHUP while a start still waits for the process that serves had the new discovery asked before the file's list was told: that list, and its version, then went before what the new discovery had said (relay.py, _open after reload). The new one is now asked once the list is told, for all of it. - an address of discovery that no URL can be made of ("a b:1") was taken: the watch that was out was ended and the call raised, so nothing of discovery was heard ever after. It is refused like any bad file. So is a file, or a list, nested past the decoder's recursion limit: a list like that ended the watch for good, as any exception before the next call did. - an agent that is silent was asked every 0.8 s, but each fifth call took 1.2 s from start to start: what it had at its return, which counts at once, was heard after 1.14 s where 1.05 are allowed. The fifth takes 0.88 s now. - changes in an answer whose version went back were dropped until the whole list had come, some seconds later where discovery is asked; they count as told when written, and are taken. - a header without an end was read for as long as its call had time (up to a minute): 256 KiB now, then the connection is reset, logged as an answer too long. One line was bounded by the client at 16 KiB already. Ruled out: late answers of the old discovery, its versions at the new one, silent and unreachable agents and discoveries at the reload, reloads in a row, whole, indented and chunked lists in pieces of one byte, servers that a whole list lacks, connects that are out as the drain is told; watches that fall silent 13 s in, or in the last moment of a wait, also where discovery is away right after.

Two tests build their parts with the new signature.

--- a/scaledeal/net/config.py
+++ b/scaledeal/net/config.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import logging
 import os
+import re
 from collections.abc import Mapping
 from hashlib import blake2b
 from pathlib import Path
@@ -13,6 +15,10 @@
 from scaledeal.net.roster import Roster
 from scaledeal.settings import Document
 
+log = logging.getLogger("scaledeal.config")
+
+_HOST = re.compile(r"[0-9A-Za-z._:-]+|\[[0-9A-Fa-f:.]+\]")
+
 
 class ConfigError(Exception):
     """The relay can't start with what it was told; the text is one plain line."""
@@ -59,7 +65,7 @@
 def address(text: str, what: str) -> Address:
     """Read host:port."""
     host, colon, port = text.rpartition(":")
-    if not (colon and host and port.isdecimal() and 0 <= int(port) < 65536):
+    if not (colon and _HOST.fullmatch(host) and port.isdecimal() and 0 <= int(port) < 65536):
         raise ConfigError(f"{what}: host:port was expected, not {text!r}")
     return Address(host.strip("[]"), int(port))
 
@@ -79,12 +85,16 @@
         file = msgspec.json.decode(Path(path).read_bytes(), type=_File)
     except OSError as error:
         raise ConfigError(f"PROXY_CONFIG: {path}: {error.strerror}") from None
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ConfigError(f"PROXY_CONFIG: {path}: {error}") from None
     try:
-        return file, file.settings.settings()
+        settings = file.settings.settings()
     except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
+    if settings.siblings != int(file.settings.siblings):
+        log.warning("settings: Siblings is %g where Me is %d: taken as %d", file.settings.siblings, settings.me,
+                    settings.siblings)
+    return file, settings
 
 
 def read(environment: Mapping[str, str] = os.environ) -> Config:
--- a/scaledeal/net/discovery_watch.py
+++ b/scaledeal/net/discovery_watch.py
@@ -12,17 +12,19 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 
 from scaledeal import interface as api
-from scaledeal.net.http_body import TooLongError, read_body
+from scaledeal.net.http_body import HeaderBound, TooLongError, read_body
 from scaledeal.net.ports import Reactor, Timer
-from scaledeal.net.roster import Calendar, Roster, entries
+from scaledeal.net.roster import Catalog, Roster
 from scaledeal.net.watch_times import BODY, WatchTimes
 
 log = logging.getLogger("scaledeal.discovery")
 
 Tell = Callable[[api.Membership, dict[str, str]], None]
 
+HEADER = 256 << 10  # bytes of the longest header of an answer
 LIST = 4 << 20  # bytes of the longest answer: 1,024 servers, each on a line as long as the protocol allows
 BUSY = 503  # what discovery answers to a call that would wait too long for its turn
+TOO_LONG = "the header of an answer is longer than any"
 CONNECT = 2.0  # seconds that a connection to discovery may take
 
 
@@ -41,12 +43,11 @@
     be reached is told as LOST. It speaks with one discovery. Another is another watch: its versions are its own.
     """
 
-    def __init__(self, reactor: Reactor, host: str, port: int, zones: tuple[str, ...], calendar: Calendar,
-                 tell: Tell, times: WatchTimes, unix: Callable[[], float]) -> None:
+    def __init__(self, reactor: Reactor, host: str, port: int, catalog: Catalog, tell: Tell, times: WatchTimes,
+                 unix: Callable[[], float]) -> None:
         self.reactor = reactor
         self.base = f"http://{host}:{port}/catalog/members"
-        self.zones = zones
-        self.calendar = calendar
+        self.catalog = catalog
         self.tell = tell
         self.times = times
         self.unix = unix  # seconds on the clock that all machines read
@@ -56,7 +57,8 @@
         self.pool = HTTPConnectionPool(reactor, persistent=True)
         self.pool.retryAutomatically = False  # a failed call is made again here, at its time
         self.pool.maxPersistentPerHost = 1
-        self.agent: Any = Agent(reactor, connectTimeout=CONNECT, pool=self.pool)
+        self.header = HeaderBound(reactor, CONNECT, HEADER)
+        self.agent: Any = Agent.usingEndpointFactory(reactor, self.header, self.pool)
         self.asked: Deferred[Any] | None = None  # the call that is out
         self.why = ""  # why the last one failed
         self.waits = 0.0  # seconds that it may wait for news
@@ -68,7 +70,8 @@
     def start_with(self, known: Roster, whole: bool) -> None:
         """Tell the list as it was last held, and go on from there or ask for the whole of it."""
         self.index = None if whole else known.index
-        self._tell(api.MembershipKind.INITIAL, known)
+        listed, addresses = self.catalog.read(known, self.unix())
+        self.tell(api.Membership(api.MembershipKind.INITIAL, listed), addresses)
 
     def watch(self) -> None:
         """Ask for changes from here on, until closed; for the whole list where none is held yet."""
@@ -87,13 +90,14 @@
     def _call(self, waits: float) -> None:
         self.waits, self.begun, self.began = waits, False, self.unix()
         query = "" if self.index is None else f"?after={self.index}&wait_ms={int(waits * 1000)}"
+        self.header.begins()
         asked: Deferred[Any] = self.agent.request(b"GET", (self.base + query).encode())
         self.asked = asked
         self.late = self.times.patience(waits) - waits
         self._give_up_after(waits + self.late, asked)
         asked.addCallback(self._read, asked)
         asked.addCallbacks(self._answered, self._failed)
-        asked.addErrback(lambda failure: log.error("discovery list could not be told: %s", failure.getTraceback()))
+        asked.addErrback(self._not_told, asked)
 
     def _give_up_after(self, patience: float, asked: Deferred[Any]) -> None:
         self._stop_timer()
@@ -107,6 +111,7 @@
         # Guards against an answer that never ends: it may hold news, which counts as told from when it is written.
         self._give_up_after(BODY, asked)
         self.begun = True
+        self.header.ended()
         body: Deferred[bytes] = read_body(response, LIST)
         if response.code != 200:
             body.addCallback(lambda _: _refused(response.code))
@@ -118,22 +123,32 @@
             return
         try:
             roster = msgspec.json.decode(body, type=Roster)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             self._again(f"answer not understood: {error}", self.times.pause(0.0, False))
             return
-        if not roster.snapshot and self.index is not None and roster.index < self.index:
-            # Guards against changes that no longer follow on from the list held here.
+        listed, addresses = self.catalog.read(roster, self.unix())
+        went_back = not roster.snapshot and self.index is not None and roster.index < self.index
+        # The next call goes out before the list is told: a watch goes on only if it comes within 200 ms.
+        if went_back:
+            # Guards against changes that no longer follow on from the list held here. What they tell counts as told.
             log.warning("discovery list went back from %d to %d: asking for all of it", self.index, roster.index)
             self.index = None
             self._call(0.0)
-            return
-        self.index = roster.index
-        if self.times.missed:
-            log.info("discovery list is told again after %d failed calls", self.times.missed)
-        self.times.answered()
-        # The next call goes out before the list is told: a watch goes on only if it comes within 200 ms.
-        self._call(self.times.wait(self.unix()))
-        self._tell(api.MembershipKind.FULL if roster.snapshot else api.MembershipKind.CHANGES, roster)
+        else:
+            self.index = roster.index
+            if self.times.missed:
+                log.info("discovery list is told again after %d failed calls", self.times.missed)
+            self.times.answered()
+            self._call(self.times.wait(self.unix()))
+        kind = api.MembershipKind.FULL if roster.snapshot else api.MembershipKind.CHANGES
+        self.tell(api.Membership(kind, listed), addresses)
+
+    def _not_told(self, failure: Failure, asked: Deferred[Any]) -> None:
+        """Guard against a fault of this relay's own that ends the watch for good."""
+        log.error("discovery list could not be told: %s", failure.getTraceback())
+        if self.asked is asked and not self.closed:
+            self.index = None
+            self._again("a fault in the relay", self.times.pause(0.0, False))
 
     def _failed(self, failure: Failure) -> None:
         silent = self.timer is not None and not self.timer.active()
@@ -145,9 +160,10 @@
         elif failure.check(BusyError):
             self._again(failure.getErrorMessage(), self.times.refused())
         else:
-            broke = failure.check(NoListError, TooLongError) is None
+            broke = failure.check(NoListError, TooLongError) is None and not self.header.too_long
             took = 0.0 if self.waits else self.unix() - self.began
-            self._again(failure.getErrorMessage() or repr(failure.value), self.times.pause(took, broke))
+            why = TOO_LONG if self.header.too_long else failure.getErrorMessage() or repr(failure.value)
+            self._again(why, self.times.pause(took, broke))
             if broke:
                 self.tell(api.Membership(api.MembershipKind.LOST), {})
 
@@ -177,10 +193,6 @@
         self.why = why
         self.timer = self.reactor.callLater(pause, self._call, 0.0)
 
-    def _tell(self, kind: api.MembershipKind, roster: Roster) -> None:
-        addresses = {each.name: each.address for each in roster.endpoints if each.address}
-        self.tell(api.Membership(kind, entries(roster, self.zones, self.calendar)), addresses)
-
 
 def _refused(code: int) -> bytes:
     raise (BusyError if code == BUSY else NoListError)(f"discovery answered {code}")
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -25,7 +25,7 @@
 from scaledeal.net.health_probe import HealthProbes
 from scaledeal.net.operators import Operators
 from scaledeal.net.ports import Port, Reactor
-from scaledeal.net.roster import Calendar
+from scaledeal.net.roster import Calendar, Catalog
 from scaledeal.net.service import Service, Stage
 from scaledeal.net.sides import Side
 from scaledeal.net.succession import Succession
@@ -61,7 +61,7 @@
         pool = BufferPool()
         context = AttemptContext(reactor, pool, self.driver.now, report_reader(document.report.fields),
                       int(document.caps.dial_timeout))
-        self.calendar = Calendar(self.system.monotonic(), self.system.unix())
+        self.catalog = Catalog(document.failure_domains, Calendar(self.system.monotonic(), self.system.unix()))
         self.discovery = self._watch()
         self.driver.watch = lambda: self.discovery.watch()
         classes = {entry.name: number for number, entry in enumerate(document.classes)}
@@ -85,6 +85,8 @@
         self.succession = Succession(reactor, place, self.driver, self.door.reception, self._open)
         self.sides: list[Side] = []  # doors for other protocols than lines
         self.adopted = False  # the listening socket was handed over
+        self.opened = False  # the list of the start has been told
+        self.moved = False  # discovery is another one than the list at the start is of
         self.gone = False
         self.failure = ""  # why this relay could not start
 
@@ -119,7 +121,8 @@
 
     def _open(self, descriptor: int | None) -> None:
         """Listen on the socket that was handed over, or on one of our own."""
-        self.discovery.start_with(self.config.known, descriptor is not None)
+        self.opened = True
+        self.discovery.start_with(self.config.known, descriptor is not None or self.moved)
         if not self.config.settings.ask_discovery:
             # Guards against a list that is never read where it is pushed: the agent on this machine answers at
             # once and at no cost, and what it holds counts as told, so it is watched from the start. The module
@@ -191,8 +194,8 @@
 
     def _watch(self) -> DiscoveryWatch:
         where = self.config.discovery
-        return DiscoveryWatch(self.reactor, where.host, where.port, self.config.document.failure_domains, self.calendar,
-                              self._listed, self._times(), lambda: self.system.unix() / 1e9)
+        return DiscoveryWatch(self.reactor, where.host, where.port, self.catalog, self._listed, self._times(),
+                              lambda: self.system.unix() / 1e9)
 
     def _times(self) -> WatchTimes:
         settings, rules = self.config.settings, self.config.document.rules
@@ -222,10 +225,13 @@
         where = self.config.discovery
         log.info("configuration read again: discovery is now at %s:%d", where.host, where.port)
         self.discovery.close()
-        # Guards against a list that stays as old as the last call: the new discovery is asked at once, and
-        # for all of it, as the old one's versions mean nothing there.
         self.discovery = self._watch()
-        self.discovery.watch()
+        self.moved = True
+        if self.opened:
+            # Guards against a list that stays as old as the last call: the new discovery is asked at once, and
+            # for all of it, as the old one's versions mean nothing there. Before the start has told its list it isn't
+            # asked: that list would come after, and go before, what it says.
+            self.discovery.watch()
 
     # The end
 
--- a/scaledeal/net/watch_times.py
+++ b/scaledeal/net/watch_times.py
@@ -23,7 +23,8 @@
 AGENT_ROUND = 0.8  # share of the drain window in which an agent that fails or is silent is asked once more
 AGENT_LEAST = 0.1  # seconds of such a round at least, where the settings leave no window
 AGENT_PAUSE = 0.25  # share of that round that passes between two calls
-AGENT_SLOW = 5  # every so many such calls, one is given longer: the agent may be slow, not silent
+AGENT_SHORT = 0.1  # the same after a call that was given a whole round
+AGENT_SLOW = 5  # every so many such calls, one is given the whole round: the agent may be slow, not silent
 LONGEST = 60.0  # seconds that a call may wait at most, by the protocol
 GOLDEN = 0.6180339887498949  # turns by so much fall evenly, however many there are
 
@@ -65,7 +66,7 @@
             return wait + LATE
         if self.pushed:
             slow = self.missed % AGENT_SLOW == AGENT_SLOW - 1
-            return BODY if slow else self._agent_round() * (1 - AGENT_PAUSE)
+            return self._agent_round() * (1 if slow else 1 - AGENT_PAUSE)
         # Guards against a fleet that started in one moment at a silent discovery, and asks it in step ever after.
         return UNANSWERED * (1 - APART * self._spread())
 
@@ -78,7 +79,7 @@
         """
         self.missed += 1
         if self.pushed:
-            return self._agent_round() * AGENT_PAUSE
+            return self._agent_pause()
         share = self._spread()
         wanted = (PAUSE if broke or self.missed > 1 else BUSY) * (1 + share) / 2
         if broke and self.missed == 1:
@@ -92,7 +93,7 @@
         """
         self.missed += 1
         if self.pushed:
-            return self._agent_round() * AGENT_PAUSE
+            return self._agent_pause()
         self.crowded = True
         return BUSY * (1 + self._spread()) / 2
 
@@ -114,6 +115,10 @@
         # Guards against an agent asked without a pause, and given up at once, where no window is stated.
         return max(AGENT_LEAST, AGENT_ROUND * min(BODY, self.grace))
 
+    def _agent_pause(self) -> float:
+        # Guards against a slow call and its pause that outlast the window: an agent that is back counts from then.
+        return self._agent_round() * (AGENT_SHORT if self.missed % AGENT_SLOW == 0 else AGENT_PAUSE)
+
     def _spread(self) -> float:
         self.turns += 1
         return (self.place + self.turns * GOLDEN) % 1
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -17,7 +17,7 @@
 from scaledeal.net.discovery_watch import CONNECT, LIST
 from scaledeal.net.driver import Driver
 from scaledeal.net.figures import Figures
-from scaledeal.net.roster import Calendar
+from scaledeal.net.roster import Calendar, Catalog
 from scaledeal.net.watch_times import BODY, GOLDEN, SILENT_TOLD, WAIT_TOLD, WatchTimes
 
 RELAYS, ASK_WITHIN, GRACE = 230, 10.0, 1.0
@@ -126,10 +126,7 @@
                 self.late.setdefault(me, self.clock.seconds())
             driver.listed(event, addresses)
 
-        made = discovery_watch.DiscoveryWatch(self.clock, "h", 1, (), Calendar(0, 0), listed,  # type: ignore[arg-type]
-                         WatchTimes(pushed, ASK_WITHIN, GRACE, me * GOLDEN % 1), self.clock.seconds)
-        made.agent = SimpleNamespace(request=lambda _, url: self.discovery.request(
-            me, url.decode().partition("members")[2]))
+        made = self.watch(me, pushed, listed)
         driver.watch = made.watch
         if pushed:
             made.watch()
@@ -137,6 +134,22 @@
             self.clock.callLater(me * step, driver.listed, api.Membership(api.MembershipKind.INITIAL), {})
         return made
 
+    def watch(self, me: int, pushed: bool, tell: discovery_watch.Tell) -> discovery_watch.DiscoveryWatch:
+        made = discovery_watch.DiscoveryWatch(self.clock, "h", 1, Catalog((), Calendar(0, 0)), tell,  # type: ignore[arg-type]
+                         WatchTimes(pushed, ASK_WITHIN, GRACE, me * GOLDEN % 1), self.clock.seconds)
+        made.agent = SimpleNamespace(request=lambda _, url: self.discovery.request(
+            me, url.decode().partition("members")[2]))
+        return made
+
+    def reload(self, pushed: bool) -> None:
+        """Have every relay go over to another discovery, as a new configuration tells them in one moment."""
+        old = self.discovery
+        self.discovery = Discovery(self.clock, old.cost * len(self.watches), old.queue, len(self.watches))
+        for me, watch in enumerate(self.watches):
+            watch.close()
+            self.watches[me] = self.watch(me, pushed, watch.tell)
+            self.watches[me].watch()
+
     def run(self, seconds: float, step: float = 0.05) -> None:
         self.clock.pump([step] * int(seconds / step))
 
@@ -216,6 +229,43 @@
     assert worst_after(fleet, fleet.clock.seconds()) <= SILENT_TOLD + WINDOW
 
 
+@pytest.mark.parametrize("moment", ["13 s in", "in the last moment of a wait", "as a wait begins"])
+@pytest.mark.parametrize("then", ["answers", "refused", "silent"])
+@pytest.mark.parametrize("pushed,relays,all_call,queue", [
+    (True, 5, 0.0, 0.0), (False, 6, 4.6, 3.0), (False, 40, 6.0, 1.0)])
+def test_all_hear_in_time_where_watches_fall_silent_late(
+        monkeypatch, pushed, relays, all_call, queue, then, moment):
+    # Guards against a watch whose silence is noticed only after its next wait, and against a call that makes good for
+    # it lost as well: discovery or the agent is away for the 3 s that follow.
+    fleet = Fleet(monkeypatch, True, 0.0, 0.0, relays) if pushed else started(
+        monkeypatch, relays, all_call, queue, 1.3 * all_call / relays)
+    fleet.run(1000 + 13 - fleet.clock.seconds() if fleet.clock.seconds() < 1013 else 13)
+    if moment != "13 s in":
+        _, start, waits = min(fleet.discovery.open.values(), key=lambda call: call[1] + call[2])
+        fleet.run(start + waits - fleet.clock.seconds() + (-0.004 if "last" in moment else 0.004), 0.001)
+    assert len(fleet.discovery.open) >= relays - 1, "all watch"
+    fleet.discovery.silence()
+    had = fleet.clock.seconds()
+    if then != "answers":
+        fleet.discovery.down = then
+        fleet.run(3)
+        fleet.discovery.down, fleet.discovery.free = "", fleet.clock.seconds()
+    # What is missed counts as told 6 s after discovery had it and could be reached: from its return on. What an agent
+    # gets at its return counts at once.
+    reached = had if then == "answers" else fleet.clock.seconds()
+    at_once = pushed and then != "answers"
+    assert worst_after(fleet, reached) <= (0.0 if at_once else SILENT_TOLD) + WINDOW
+
+
+@pytest.mark.parametrize("relays,all_call,queue", [(6, 4.6, 3.0), (40, 6.0, 1.0), (230, 6.0, 3.0)])
+def test_a_fleet_that_is_told_of_another_discovery_in_one_moment_hears_of_drains_there_in_time(
+        monkeypatch, relays, all_call, queue):
+    fleet = started(monkeypatch, relays, all_call, queue, 1.3 * all_call / relays)
+    fleet.reload(False)
+    fleet.discovery.drain()
+    assert worst_after(fleet, fleet.clock.seconds()) <= SILENT_TOLD + WINDOW
+
+
 def test_who_was_refused_for_want_of_time_asks_again_within_a_second_however_often(monkeypatch):
     fleet = started(monkeypatch, 1, 0.5, 3.0, 1.0)
     discovery = fleet.discovery
@@ -292,7 +342,7 @@
     # Guards against a list that is read for ever: into the memory, or in place of the next call.
     clock, out, told = Clock(), [], []
     made = discovery_watch.DiscoveryWatch(
-        clock, "h", 1, (), Calendar(0, 0), lambda event, _: told.append(event.kind),  # type: ignore[arg-type]
+        clock, "h", 1, Catalog((), Calendar(0, 0)), lambda event, _: told.append(event.kind),  # type: ignore[arg-type]
         WatchTimes(False, ASK_WITHIN, GRACE, 0.3), clock.seconds)
     calls = iter([Deferred(lambda _: None) for _ in range(9)])
     made.agent = SimpleNamespace(request=lambda *_: out.append(call := next(calls)) or call)
