Load reports, loads and sibling counts that can't be are kept from the module

Seen by a script on the module: a utilisation of NaN or below 0 reads as an idle server for 6 s, 1e9 passes it over, a LOAD line of NaN leaves no sum of loads, no charge and no learned capacity a number for good, an unreadable value counted as 0. Now checked where the network hands them on, by server: below 0, no number, unlike twice in a report, over 100 times (over 1e9 elsewhere): the report is left out, so the last good one stays, and one WARNING tells of a row, with its number at the end. Siblings below this relay's own number, or 0, count as one more than that number: the relay started with a larger part of a cold server's budget than it has, or not at all.

--- a/scaledeal/net/attempt.py
+++ b/scaledeal/net/attempt.py
@@ -216,7 +216,7 @@
             self.link.close()
 
     def _load(self, line: bytes) -> None:
-        amount = wording.number(line.partition(b" ")[2].decode("ascii", "replace"))
+        amount = wording.figure(line.partition(b" ")[2].decode("ascii", "replace"))
         self.events.load_line(amount)
 
     def _timed_out(self) -> None:
--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -17,6 +17,7 @@
 from scaledeal.net.delays import Delays
 from scaledeal.net.figures import Figures
 from scaledeal.net.load_lines import LoadLines
+from scaledeal.net.load_reports import LoadReports
 from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.sides import Agent, Ask, Prober
 from scaledeal.net.trace import Trace
@@ -40,6 +41,7 @@
         self.addresses: dict[str, str] = {}  # where each application server was last said to be
         self.delays = Delays(tuple(each.message_aim for each in settings.classes), self.now)
         self.load_lines = LoadLines(self.delays.least / 1e6, self.now)
+        self.load_reports = LoadReports(settings)
         self.figures = figures
         self.draining = False  # whatever comes up is moved at once
         self.leaving = False  # whatever is asked for is refused: the process is about to go
@@ -73,6 +75,8 @@
 
         Guards against an action whose own events would reach the module in the middle of its others.
         """
+        if isinstance(event, (api.Outcome, api.ProbeResult)):
+            event = self.load_reports.checked(event)
         self._events.append(event)
         if self._busy:
             return
--- a/scaledeal/net/load_lines.py
+++ b/scaledeal/net/load_lines.py
@@ -10,12 +10,16 @@
 
 from __future__ import annotations
 
+import logging
 from collections import deque
 from collections.abc import Callable
 
 import msgspec
 
 from scaledeal import interface as api
+from scaledeal.net.fault_log import SOUND, FaultLog
+
+log = logging.getLogger("scaledeal.reports")
 
 MS = 1_000_000
 PERIOD = 1000 * MS
@@ -24,6 +28,7 @@
 HANGS = 60_000.0  # ms; the longest time that is looked for at all
 CLOSE = 5 * MS  # how far from a period two such times may come
 GROWTH = 1500.0  # ms by which such a time may differ from the one a period before
+MOST = 1e9  # us of work a second, or ms; past it, or below 0, a line tells nothing
 FAR_UNDER = 10.0  # a load falls to less than this fraction of itself in one step only rarely
 
 Told = tuple[api.NoteKind, float]
@@ -47,9 +52,15 @@
         self.now = now
         self.loads: dict[str, float] = {}
         self.servers: dict[str, _Server] = {}
+        self.faults = FaultLog(log, "LOAD lines with a load that can't be", SOUND)
 
     def read(self, server: str, connection: str, amount: float) -> Told | None:
-        """Return what a line tells; None where that shows only later."""
+        """Return what a line tells; None where that shows only later, or where it can't be."""
+        if not 0 <= amount <= MOST:
+            # Guards against one line that leaves no sum of loads a number: the connection's last load stays.
+            self.faults.bad({server: f"{amount:g}"})
+            return None
+        self.faults.good((server,))
         before = self.loads.get(connection)
         if before is None:
             return self._load(connection, amount)
--- a/scaledeal/net/wording.py
+++ b/scaledeal/net/wording.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Callable
 
@@ -87,19 +88,31 @@
         return 0.0
 
 
+def figure(text: str) -> float:
+    """Read a number that is owed; NaN where there is none."""
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
+
+
 def first_word(line: bytes) -> bytes:
     """Return a line's first word."""
     return line.split(b" ", 1)[0]
 
 
 def report_reader(fields: tuple[str, ...]) -> Callable[[bytes], tuple[float, ...]]:
-    """Return what reads the load report behind a line's first word, in the order of the settings."""
+    """Return what reads the load report behind a line's first word, in the order of the settings.
+
+    A value that is no number, or that contradicts itself, is NaN; a report that lacks one is none.
+    """
     def read(line: bytes) -> tuple[float, ...]:
         told: dict[str, float] = {}
         for pair in line.partition(b" ")[2].decode("ascii", "replace").split(","):
             name, equals, value = pair.partition("=")
             if equals:
-                told[_REPORTED.get(name, name)] = number(value)
+                known, amount = _REPORTED.get(name, name), figure(value)
+                told[known] = amount if told.get(known, amount) == amount else math.nan
         return tuple(told[name] for name in fields) if all(name in told for name in fields) else ()
 
     return read
--- a/scaledeal/settings.py
+++ b/scaledeal/settings.py
@@ -116,7 +116,7 @@
             classes=tuple(self._class(i, entry) for i, entry in enumerate(self.classes)),
             tenants=tuple(api.Tenant(entry.allowance_per_s, _at(self.specifics.tenant_quota_connections, i))
                           for i, entry in enumerate(self.accounts)),
-            siblings=int(self.siblings),
+            siblings=self.relays(),
             me=int(self.me),
             zone=int(self.zone),
             ask_discovery=self.discovery == "on_request",
@@ -139,6 +139,14 @@
             granularity=int(self.granularity),
         )
 
+    def relays(self) -> int:
+        """Return how many relays there are: as told, but no fewer than this one's number shows.
+
+        Guards against a relay that takes a larger part of a cold server's budget than it has, and against a start that
+        fails for a number that nothing but a share is reckoned by.
+        """
+        return max(1, int(self.siblings), int(self.me) + 1)
+
     def _class(self, number: int, entry: ClassEntry) -> api.RequestClass:
         return api.RequestClass(
             aim=int(entry.aim),
