--- a/scaledeal/cli/checking.py
+++ b/scaledeal/cli/checking.py
@@ -23,8 +23,10 @@
         try:
             document = msgspec.json.decode(config.read_bytes(), type=_File).settings
             document.settings()
-        except (OSError, msgspec.MsgspecError, ValueError) as error:
+        except (OSError, msgspec.MsgspecError, ValueError, RecursionError) as error:
             return [Fault(0, str(config), str(error))]
+        if document.relays() != int(document.siblings):  # a relay starts with it, and logs it
+            return [Fault(0, str(config), f"settings: Siblings: {document.siblings:g}, where Me is {document.me:g}")]
     try:
         installation = read(file, document)
     except FileError as error:
