One entry of a list that can't be read hides no other

One malformed entry (an unknown status, a start that is null) made the whole answer not understood, for as long as it was listed: no drain of any other server was heard. The entries that can be read are taken now, as changes, since the list may lack servers; it is asked for again as before, and its version is not held. Forced by a test, which fails where they are dropped, or told as a whole list.

--- a/scaledeal/net/discovery_watch.py
+++ b/scaledeal/net/discovery_watch.py
@@ -14,7 +14,7 @@
 from scaledeal import interface as api
 from scaledeal.net.http_body import HeaderBound, TooLongError, read_body
 from scaledeal.net.ports import Reactor, Timer
-from scaledeal.net.roster import Catalog, Roster
+from scaledeal.net.roster import Catalog, Roster, readable
 from scaledeal.net.watch_times import BODY, WatchTimes
 
 log = logging.getLogger("scaledeal.discovery")
@@ -70,8 +70,7 @@
     def start_with(self, known: Roster, whole: bool) -> None:
         """Tell the list as it was last held, and go on from there or ask for the whole of it."""
         self.index = None if whole else known.index
-        listed, addresses = self.catalog.read(known, self.unix())
-        self.tell(api.Membership(api.MembershipKind.INITIAL, listed), addresses)
+        self._tell(api.MembershipKind.INITIAL, *self.catalog.read(known, self.unix()))
 
     def watch(self) -> None:
         """Ask for changes from here on, until closed; for the whole list where none is held yet."""
@@ -125,6 +124,8 @@
             roster = msgspec.json.decode(body, type=Roster)
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
             self._again(f"answer not understood: {error}", self.times.pause(0.0, False))
+            if (rest := readable(body)).endpoints:
+                self._tell(api.MembershipKind.CHANGES, *self.catalog.read(rest, self.unix()))
             return
         listed, addresses = self.catalog.read(roster, self.unix())
         went_back = not roster.snapshot and self.index is not None and roster.index < self.index
@@ -140,7 +141,9 @@
                 log.info("discovery list is told again after %d failed calls", self.times.missed)
             self.times.answered()
             self._call(self.times.wait(self.unix()))
-        kind = api.MembershipKind.FULL if roster.snapshot else api.MembershipKind.CHANGES
+        self._tell(api.MembershipKind.FULL if roster.snapshot else api.MembershipKind.CHANGES, listed, addresses)
+
+    def _tell(self, kind: api.MembershipKind, listed: tuple[api.ServerEntry, ...], addresses: dict[str, str]) -> None:
         self.tell(api.Membership(kind, listed), addresses)
 
     def _not_told(self, failure: Failure, asked: Deferred[Any]) -> None:
--- a/scaledeal/net/roster.py
+++ b/scaledeal/net/roster.py
@@ -5,6 +5,7 @@
 import logging
 import re
 from collections import defaultdict
+from contextlib import suppress
 from typing import Literal
 
 import msgspec
@@ -46,6 +47,25 @@
     endpoints: tuple[Endpoint, ...] = ()
 
 
+class _Loose(msgspec.Struct, frozen=True):
+    """A list of which not every entry may be one."""
+
+    endpoints: tuple[msgspec.Raw, ...] = ()
+
+
+def readable(body: bytes) -> Roster:
+    """Return the entries that can be read of a list that is none as a whole: changes, as it may lack servers.
+
+    Guards against one entry that can't be read and hides from this relay that other servers drain.
+    """
+    entries = list[Endpoint]()
+    with suppress(msgspec.MsgspecError, ValueError, RecursionError):
+        for each in msgspec.json.decode(body, type=_Loose).endpoints:
+            with suppress(msgspec.MsgspecError):
+                entries.append(msgspec.json.decode(each, type=Endpoint))
+    return Roster(0, False, tuple(entries))
+
+
 class Calendar:
     """Turns discovery's Unix times into the driver's clock.
 
--- a/tests/test_discovery_moves.py
+++ b/tests/test_discovery_moves.py
@@ -297,3 +297,21 @@
     one.run(1.2)
     assert "answer not understood" in caplog.text and "could not be told" not in caplog.text
     assert one.state("s0") == "draining" and one.relay.discovery.index == 9
+
+
+@pytest.mark.parametrize("odd", [b'{"name":"s1","status":"gone"}', b'{"name":"s1","since_ms":null}', b'{"name":7}',
+                                 b'{"name":"s1","weight":"much"}', b'{"status":"left"}', b"7"])
+def test_an_entry_that_cannot_be_read_hides_no_other(
+        monkeypatch, tmp_path: Path, caplog: pytest.LogCaptureFixture, odd: bytes) -> None:
+    # Guards against one such entry that keeps a whole fleet from hearing of drains, for as long as it is listed.
+    one = OneRelay(monkeypatch, tmp_path, False)
+    one.run(2)
+    one.old.mode = "held"
+    for index, server in ((8, "s0"), (9, "s2")):
+        entry = b'{"name":"%s","address":"10.1.0.2:9","status":"leaving"}' % server.encode()
+        one.old.calls[-1].say(b'{"index":%d,"endpoints":[%s,%s]}' % (index, odd, entry))
+        one.run(1.2)
+    assert [one.state(each) for each in ("s0", "s1", "s2")] == ["draining", "live", "draining"]
+    said = [each.getMessage() for each in caplog.records]
+    assert len(said) == 1 and "answer not understood" in said[0], said
+    assert one.relay.discovery.index == 1 and one.old.calls[-1].query == "?after=1&wait_ms=0", "asked again"
