--- a/scaledeal/lab/hosts/relay/host.py
+++ b/scaledeal/lab/hosts/relay/host.py
@@ -203,6 +203,8 @@
                 client.number].name: self._come(c, d, s))  # type: ignore[misc]
 
     def _bad_comes(self) -> None:
+        if self.fleet.kernel.now >= self.fleet.day.seconds:
+            return  # guards against one that came just before the look at what is left
         draw = self._bad_draw
         door = self.fleet.front.pick(0)
         data = BAD[int(draw.integers(len(BAD)))]
--- a/scaledeal/lab/scenario/types.py
+++ b/scaledeal/lab/scenario/types.py
@@ -68,6 +68,16 @@
     tells_load: bool = True
     message: Positive = 0.08  # a message's time at an idle server, over the class's message aim
 
+    @property
+    def coldest(self) -> float:
+        """Return the share of its capacity that any server has at the least when it starts, as relays are told."""
+        return min(model.cold_from.low for model in self.model)
+
+    @property
+    def warm_after(self) -> int:
+        """Return the ns after which any server is warm, as relays are told."""
+        return int(max(model.cold.high for model in self.model))
+
 
 class Class(Block, frozen=True):
     """A class of connections."""
