--- a/scaledeal/lab/world/clients.py
+++ b/scaledeal/lab/world/clients.py
@@ -211,6 +211,8 @@
         weight = self.shares * np.array(self.lives)
         self.mean_load = 1 / per_core
         self.unit = self.mean_load * weight.sum() / float((weight * np.array(self.loads)).sum())
+        self.mean_work = float(self.unit * (self.shares * np.array(self.loads)).sum())  # of those that come
+        self.works = [float(self.unit) * load / self.mean_work for load in self.loads]  # a class's over that
         standing = day.clients.load * power * per_core
         mean_life = float((self.shares * np.array(self.lives)).sum()) * self.life / SECOND
         self.rate = standing / mean_life  # new clients a second
--- a/scaledeal/lab/world/fleet.py
+++ b/scaledeal/lab/world/fleet.py
@@ -153,7 +153,7 @@
         name = f"s-{number}"
         where = number % len(self.day.zones) if zone is None else zone
         server = TileServer(self.kernel, self.day, name, where, model, self.streams.of("server", name), self.service,
-                            self.witness, self.store, self.store_time, self.crowd.mean_load, started)
+                            self.witness, self.store, self.store_time, self.crowd, started)
         self.servers[name] = server
         self.on_start(server)
         return server
--- a/scaledeal/lab/world/server.py
+++ b/scaledeal/lab/world/server.py
@@ -7,8 +7,9 @@
 messages that take no longer than its class wants: ``1 - exp(-(1 - asked) * left / m)``, where ``m`` is a message's time
 at an idle server and ``left`` is the wanted time less what is piled up (response times of M/M/1). Past ``buffer`` the
 heaviest connections are dropped. New connections are set up in turn, by as many workers as cores, then by the store.
-Until the settings call it warm, it falls over when it gets more than ``N + 2 * sqrt(N) + 2`` new connections in any
-window of ``rules.fall``; what N is says ``allowed``. The settings' cold share and warm-up count there, not its own.
+Until the settings call it warm, it falls over when it gets more than ``N + 2 * sqrt(N) + 2`` new connections of mean
+work in any window of ``rules.fall``; one of a class counts by that class's mean. What N is says ``allowed``: the
+settings' cold share and warm-up count there, not the server's own.
 """
 
 from __future__ import annotations
@@ -58,6 +59,14 @@
         """Hear that the connection broke."""
 
 
+class Means(Protocol):
+    """What connections ask for on average; loads are of a reference core."""
+
+    mean_load: float  # of those that stand
+    mean_work: float  # of those that come
+    works: list[float]  # of those of a class that come, over that
+
+
 class Held(msgspec.Struct, eq=False):
     """A connection at a server, from its arrival until its end."""
 
@@ -77,13 +86,14 @@
     """One process on one machine."""
 
     def __init__(self, kernel: Kernel, day: Scenario, name: str, zone: int, model: Model, draw: np.random.Generator,
-                 service: Service, witness: Witness, store: Station, store_time: Callable[[], int], mean_load: float,
+                 service: Service, witness: Witness, store: Station, store_time: Callable[[], int], means: Means,
                  started: int = 0) -> None:
         self.kernel, self.day, self.model, self.draw = kernel, day, model, draw
         self.service, self.witness = service, witness
         self.store, self.store_time = store, store_time
         self.name, self.zone, self.started = name, zone, started
-        self.mean_load = mean_load  # of a reference core
+        self.means = means
+        self.mean_load = means.mean_load
         self.power = model.cores * _drawn(draw, model.speed)  # reference cores, when warm
         self.cold_from = _drawn(draw, model.cold_from)
         self.cold_time = int(_drawn(draw, model.cold)) if started else 0
@@ -107,7 +117,7 @@
         self._looks = False
         self._noted: dict[str, int] = {}  # relays that were told of slow messages, and when
         self._past: list[tuple[int, float, int]] = [(0, 0.0, 0)]  # when, asked, connections
-        self._arrived: list[tuple[int, str]] = []  # while cold: when, and from which relay
+        self._arrived: list[tuple[int, str, float]] = []  # while cold: when, from which relay, and its part of N
         if started:
             self._look_soon()
 
@@ -360,20 +370,20 @@
         if not (self.alive and self.started and now - self.started < self.day.servers.warm_after):
             return
         self._arrived = [each for each in self._arrived if each[0] > now - rules.fall]
-        self._arrived.append((now, held.seat.relay))
+        self._arrived.append((now, held.seat.relay, self.means.works[held.cls]))
         allowed = self.allowed()
-        if len(self._arrived) > allowed + 2 * math.sqrt(allowed) + 2:
-            self.witness.pushed_over(self.name, now, [relay for _, relay in self._arrived], allowed)
+        if sum(work for *_, work in self._arrived) > allowed + 2 * math.sqrt(allowed) + 2:
+            self.witness.pushed_over(self.name, now, [relay for _, relay, _ in self._arrived], allowed)
             self.die()
 
     def allowed(self) -> float:
-        """Return N: how many new connections the settings allow it in a window now, while it counts as cold.
+        """Return N: how many new connections of mean work the settings allow it in a window now, while it is cold.
 
         ``fall_multiple`` times what fills it over its warm-up, of the capacity that it has at the least by its age.
         """
         rules, servers = self.day.rules, self.day.servers
         age = (self.kernel.now - self.started) / servers.warm_after
-        capacity = self.power / self.mean_load * (servers.coldest + (1 - servers.coldest) * age)
+        capacity = self.power / self.means.mean_work * (servers.coldest + (1 - servers.coldest) * age)
         return rules.fall_multiple * capacity * rules.fall / servers.warm_after
 
     def _look_soon(self) -> None:
