--- a/tests/lab_broken.py
+++ b/tests/lab_broken.py
@@ -69,3 +69,11 @@
         else:
             self._give_up(flight, "late")
 '''
+
+ALONE = HEAD + '''
+from dataclasses import replace
+
+class Balancer(Sound):
+    def __init__(self, settings, seed):
+        super().__init__(replace(settings, siblings=1), seed)  # takes a cold server's whole budget for itself
+'''
--- a/tests/test_lab_days.py
+++ b/tests/test_lab_days.py
@@ -22,6 +22,7 @@
 from scaledeal.lab.scenario.types import Scenario
 from scaledeal.lab.truth import BrokenRuleError, Service, Violation
 from scaledeal.lab.world.fleet import SECOND, Fleet
+from scaledeal.lab.world.server import TileServer
 from scaledeal.lab.world.troubles import begin
 from scaledeal.policy import Balancer
 
@@ -113,6 +114,97 @@
     raise AssertionError(f"no day on which the broken one alone is told: {told}")
 
 
+class Stub:
+    """A seat that hears everything and says nothing."""
+
+    def __init__(self, relay: str) -> None:
+        self.relay = relay
+
+    def __getattr__(self, name: str) -> object:
+        return lambda *told: None
+
+
+def cold(age: int, over: str = "", told: int = 4) -> tuple[Fleet, TileServer]:
+    """Return a cold server of this age, of whose start so many of the relays r0 to r3 were told."""
+    fleet = Fleet(load_text(text(), over), 1, stop=False)
+    fleet.kernel.run(SECOND)
+    server = fleet.start_server(fleet.models[0])
+    for number in range(told):
+        fleet.witness.told(f"r{number}", server.name, "active", True, fleet.kernel.now)
+    fleet.kernel.run(fleet.kernel.now + age)
+    return fleet, server
+
+
+def flood(fleet: Fleet, server: TileServer, most: int = 1000, cls: int = 0) -> int:
+    """Send so many requests at once, by turns from r0 to r3; return how many it took until it fell."""
+    for number in range(most):
+        held = fleet.crowd.held(fleet.crowd.new(cls), Stub(f"r{number % 4}"))
+        held.id = f"f{fleet.crowd.numbered}"
+        server.arrive(held)
+        if not server.alive:
+            return number + 1
+    return most
+
+
+def limit(server: TileServer, age: float, mean: float = 1.0) -> float:
+    """Return the most that the operators' rule allows a window: a fifth of a core a connection, 0.4 up to 1 in 4 s."""
+    n = 3 * server.power * 5 / mean * (0.4 + 0.6 * age / 4) / 4
+    return n + 2 * n**0.5 + 2
+
+
+@pytest.mark.parametrize("age", [0.1, 1.0, 3.9])  # the last is past the server's own warm-up, not the settings'
+def test_a_cold_server_falls_at_the_first_request_past_the_operators_rule(age: float):
+    fleet, server = cold(int(age * SECOND))
+    assert server.cold_time < 3.9 * SECOND, "a server that warms up sooner than the settings tell"
+    assert flood(fleet, server) == int(limit(server, age)) + 1
+    assert [each.rule for each in fleet.witness.violations] == ["cold servers"]
+
+
+def test_a_cold_server_forgets_what_came_before_the_window_and_no_sooner():
+    fleet, server = cold(SECOND // 2)
+    first = int(limit(server, 0.5))
+    assert flood(fleet, server, first) == first and server.alive
+    fleet.kernel.run(fleet.kernel.now + SECOND)
+    assert flood(fleet, server, first) == first and server.alive, "nothing of the first counts any more"
+    fleet.kernel.run(fleet.kernel.now + SECOND - 1)
+    assert flood(fleet, server) == int(limit(server, 2.5)) + 1 - first, "all of the second counts still"
+
+
+def test_a_warm_server_does_not_fall_and_one_of_a_start_untold_breaks_no_rule():
+    fleet, server = cold(4 * SECOND)
+    assert flood(fleet, server, 100) == 100 and server.alive
+    for told, broken in ((2, 0), (3, 1)):  # half of the senders were told, and three quarters
+        fleet, server = cold(SECOND, told=told)
+        flood(fleet, server)
+        assert not server.alive and len(fleet.witness.violations) == broken, told
+
+
+def test_a_request_counts_at_a_cold_server_by_the_work_of_its_class():
+    fleet, server = cold(SECOND, 'class "one" {\n  load = 4\n}\n')
+    # Of those that come, half have four times the load of the others: 1.6 and 0.4 of the mean.
+    took = flood(fleet, server, cls=1)
+    n = limit(server, 1.0)
+    assert took == int(n / 0.4) + 1, (took, n)
+
+
+# A day that f337bc9's module keeps too, so that the planted fault alone is told.
+@pytest.mark.parametrize(("host", "seed"), [("module", 10), ("relay", 10)])
+def test_a_throng_is_played_and_tells_of_relays_that_each_take_a_cold_server_for_themselves(host: str, seed: int):
+    sound = run(load("throng"), host, seed)
+    assert sound.broken is None, sound.broken
+    counts = sound.fleet.service.counts
+    assert counts["broken"] > 50 and counts["again"] > 200 and len(sound.fleet.servers) > 12, counts
+    broken = run(load("throng"), host, seed, lab_broken.ALONE).broken
+    assert broken is not None and broken.rule == "cold servers", broken
+
+
+def test_a_throng_at_full_size_is_the_same_day_with_more_of_all():
+    throng, mass = load("throng"), load("throng-mass")
+    assert (throng.relays.count, mass.relays.count) == (32, 230)
+    assert [each.name for each in throng.trouble] == ["deploy", "crowd", "crash", "crash"]
+    assert mass.trouble == throng.trouble, "of two blocks of one label, none is lost on the way"
+
+
 def test_a_server_that_alters_a_line_is_seen(monkeypatch: pytest.MonkeyPatch):
     say = peers.TileSeat.say
     monkeypatch.setattr(peers.TileSeat, "say", lambda seat, line: say(
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -23,6 +23,7 @@
 from scaledeal.lab.experiments.statistics import compare
 from scaledeal.lab.experiments.sweep import VariantError, jobs_of, rows_of, sweep, variant_of
 from scaledeal.lab.hunt import Case, drawn, failure_of, shrink
+from scaledeal.lab.hunt.draw import around
 from scaledeal.lab.hunt.party import factory_of
 from scaledeal.lab.runs import Job, Variant
 from scaledeal.lab.runs import worker as workers
@@ -208,6 +209,27 @@
     assert small.day.clients.load < case.day.clients.load
 
 
+def test_a_hunt_over_a_scenario_draws_its_sizes_and_keeps_what_breaks_of_it(tmp_path: Path):
+    scenario, sizes = day(("hang", "crowd")), set()
+    for number in range(40):
+        drawn_day = around(np.random.default_rng(number), scenario)
+        sizes.add(drawn_day.servers.count)
+        assert 0.75 <= drawn_day.clients.load / scenario.clients.load <= 1.25
+        assert drawn_day.trouble == scenario.trouble and drawn_day.classes == scenario.classes
+    assert sizes == {4, 5, 6}, "a quarter less or more of 5 servers"
+    (tmp_path / "small.hcl").write_text(text(seconds=2))
+    (tmp_path / "broken.py").write_text(lab_broken.RAISES)
+    call = ["lab", "hunt", "--scenario", str(tmp_path / "small.hcl"), "--tries", "2", "--workers", "1"]
+    broken = [*call, "--variant", f"file:{tmp_path / 'broken.py'}", "--keep", str(tmp_path)]
+    told = CliRunner().invoke(app, broken)
+    assert told.exit_code == 1 and "crash on 2" in told.output, told.output
+    kept = Case.read(next(tmp_path.glob("crash-*.json")))
+    assert kept.day.title == "small" and kept.rule == "crash"
+    sound = CliRunner().invoke(app, call)
+    assert sound.exit_code == 0 and "rules broken: none" in sound.output, sound.output
+    assert CliRunner().invoke(app, ["lab", "hunt", "--scenario", "nowhere"]).exit_code == 2
+
+
 @pytest.mark.parametrize("path", CASES, ids=lambda path: path.stem)
 def test_every_kept_case_is_told_of_what_is_broken_and_not_of_what_is_sound(path: Path):
     case = Case.read(path)
