What has come from a client is read before it gives way, and all who ask are answered

Cause, read in the code and forced by tests that fail without the mend: - an idle client that had to give way was reset though its request stood unread in the socket. It is read first; - clients that came while there was room, and then asked in one moment, each took a second descriptor beyond the limit. Who finds none for its attempt is answered BUSY; - a line of over 4 KiB behind a request reset the connection of a request that was owed an answer. It is answered ERR; - a client that pinged, began its request and took over 2.5 s was closed without a word. Reading one client while another one is let in never sends a third away: no recursion over a crowd.

--- a/scaledeal/net/admission.py
+++ b/scaledeal/net/admission.py
@@ -29,6 +29,12 @@
 class IdleClient(Protocol):
     """A client's connection without a request."""
 
+    def read_now(self) -> None:
+        """Read what has come and waits for its turn."""
+
+    def dismiss(self) -> None:
+        """Answer that no request is taken here any more, and close."""
+
     def give_way(self) -> None:
         """Close now: the descriptor is needed."""
 
@@ -56,22 +62,44 @@
         self.end_probes: Callable[[int], None] = lambda most: None  # has them hold at most so many
         self.turned_away: Counter[str] = Counter()
         self._timer: Timer | None = None
+        self._reading = False  # while what has come from a client that is to go is read
 
     def room(self) -> bool:
         """Make room for one more client; False if there is no descriptor for it."""
-        if self._full() and self._probing():
+        if not self._make_room(1):
+            self.count("no descriptor left")
+            return False
+        return True
+
+    def room_to_ask(self) -> bool:
+        """Make room for the attempt of a client that has just asked; False if there is no descriptor for it."""
+        # Guards against clients that came while there was room for them, and then ask all at once.
+        return self._make_room(0)
+
+    def _make_room(self, more: int) -> bool:
+        if self._full(more) and self._probing():
             self.end_probes(PROBES)
+        if self._reading:  # whoever is idle still goes, if need be, once this has been read
+            return self._free() >= 0
         # Guards against hundreds of silent connections taking the descriptors of those who ask.
-        while (self.silent or self.writers) and (self._full() or self._crowded()):
-            oldest = next(iter(self.silent or self.writers))
+        while (self.silent or self.writers) and (self._full(more) or self._crowded()):
+            self._send_away_oldest()
+        return not self._full(more)
+
+    def _send_away_oldest(self) -> None:
+        group = self.silent or self.writers
+        oldest = next(iter(group))
+        # Guards against a request that has come, and is shut unread; one read here sends nobody else away.
+        self._reading = True
+        try:
+            oldest.read_now()
+        finally:
+            self._reading = False
+        if oldest in group:
             self.leave(oldest)
             self.going.add(oldest)
             self.count("gave way")
             oldest.give_way()
-        if self._full():
-            self.count("no descriptor left")
-            return False
-        return True
 
     def enter(self, client: IdleClient) -> None:
         """Take a new client."""
@@ -100,6 +128,11 @@
         self.writers.pop(client, None)
         self.going.discard(client)
 
+    def close(self) -> None:
+        """Dismiss all who have no request: the process is to go."""
+        for client in [*self.silent, *self.writers]:
+            client.dismiss()
+
     def count(self, why: str) -> None:
         """Count a client that was turned away; a line for each would be a second flood."""
         self.turned_away[why] += 1
@@ -125,9 +158,12 @@
     def _probing(self) -> int:
         return max(0, self.probing() - PROBES)
 
-    def _full(self) -> bool:
-        held = self.present() + 1 + self._going() + 2 * self.asked + OWN + self._probing()
-        return held > self.most - self.lent
+    def _free(self) -> int:
+        """Return how many descriptors are left for clients without a request."""
+        return self.most - self.lent - OWN - self._going() - self._probing() - 2 * self.asked
+
+    def _full(self, more: int) -> bool:
+        return self.present() + more > self._free()
 
     def _crowded(self) -> bool:
         longest = self.now() - next(iter(self.silent.values()), self.now())
--- a/scaledeal/net/lines.py
+++ b/scaledeal/net/lines.py
@@ -101,6 +101,10 @@
             self._sink = other
             other.wire.registerProducer(self, True)
 
+    def partial(self) -> bool:
+        """Tell whether a line has begun that is not whole."""
+        return self._part is not None
+
     # Another process
 
     def quiet(self) -> bool:
--- a/scaledeal/net/ports.py
+++ b/scaledeal/net/ports.py
@@ -50,6 +50,9 @@
 
     bufferSize: int  # noqa: N815
 
+    def doRead(self) -> object:  # noqa: N802
+        """Read what has come, and hand it on."""
+
     def write(self, data: bytes) -> None:
         """Queue bytes."""
 
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -120,10 +120,12 @@
 
     def bad_line(self) -> None:
         """Answer a line that is too long."""
-        if self.stage is Stage.FIRST:
-            self._reject("line too long")
-        else:
+        if self.stage is Stage.STANDING:
             self.reset()
+        else:
+            # Guards against a request that is cut off without an answer, as what came behind it was bad.
+            self._leave(False)
+            self._reject("line too long")
 
     def sending_ended(self) -> None:
         """Hear that the client ended its sending: as with an attempt, it gives up what it asked for."""
@@ -145,10 +147,19 @@
         else:
             self.reception.admission.leave(self)
 
+    def read_now(self) -> None:
+        """Read what has come and waits for its turn."""
+        if self.wire is not None and not self.closing:
+            self.wire.doRead()
+
     def give_way(self) -> None:
         """Close now: others need the descriptor."""
         self.reset()
 
+    def dismiss(self) -> None:
+        """Close with a word, as nobody will read here any more: what is asked in this very moment has its answer."""
+        self._reject("too late")
+
     def _first(self, line: bytes) -> None:
         if line == wording.PING:
             self._ping()
@@ -172,6 +183,10 @@
             if session is not None:
                 session.cut = self._cut
         self._has_asked(Stage.ASKED, read)
+        if not reception.admission.room_to_ask():
+            reception.admission.count("no descriptor left")
+            self._refusal(wording.BUSY)
+            return
         self.transaction = reception.take(asked(read, number, tenant, reception.context.now()), self)
 
     def _has_asked(self, stage: Stage, read: wording.OpenLine) -> None:
@@ -190,7 +205,14 @@
         else:
             # A front that asks here hears of a drain as one that calls the operators' address.
             self.send(wording.PONG if self.reception.ready() else wording.ERR)
-            self._set_timer(FIRST_LINE, self.end)
+            self._set_timer(FIRST_LINE, self._no_more_pings)
+
+    def _no_more_pings(self) -> None:
+        # Guards against a client that pinged, then took long to write its request, and is closed without a word.
+        if self.partial():
+            self._too_late()
+        else:
+            self.end()
 
     def _too_late(self) -> None:
         self._reject("too late")
--- a/tests/test_connection_crossings.py
+++ b/tests/test_connection_crossings.py
@@ -14,6 +14,7 @@
 from twisted.python.failure import Failure
 
 from scaledeal import interface as api
+from scaledeal.net.admission import CLOSING, OWN
 from scaledeal.net.buffers import LINE
 from scaledeal.net.transaction import SLACK
 
@@ -255,6 +256,54 @@
     assert len(finals(client)) == 1 and not one.relay.driver.transactions
 
 
+# Connections that the relay closes before an answer
+
+def test_a_line_too_long_behind_a_request_leaves_it_its_answer() -> None:
+    # Guards against a request that is reset away because of what came behind it.
+    bench = Bench()
+    client = bench.client()
+    client.receive(OPENS[0] + b"\r\n")
+    bench.act(api.Send(bench.module.of(api.Request)[0].request, "a", 0))
+    client.receive(b"x" * LINE)
+    assert client.lines() == [b"ERR"] and client.fin_due and not client.aborted
+    assert bench.reactor.dialled[0].over and not bench.driver.transactions
+    assert bench.admission.turned_away == {"line too long": 1}
+
+
+def test_a_request_that_has_come_is_read_before_its_client_has_to_give_way() -> None:
+    # Guards against a request in the socket that is shut unread, as its client looked silent.
+    bench = Bench()
+    bench.admission.most = OWN + 8
+    asks, writes, silent, *others = clients = [bench.client() for _ in range(8)]
+    for number, each in enumerate((asks, *others)):
+        each.unread = b"OPEN %x k c=browse,d=2000\r\n" % number
+    writes.unread = b"OPEN ff k c=bro"
+    for _ in range(9):
+        bench.knock()
+        bench.reactor.advance(0)
+    assert silent.lost and silent.sent == b""
+    asked = [each for each in clients if each.link.asked and not each.lines()]
+    assert asks in asked and len(bench.module.of(api.Request)) == len(asked) == 4, "all that there is room for"
+    for each in others:
+        assert each in asked or each.lines() == [b"BUSY"], "shut unread"
+    assert 2 * len(asked) <= 8
+
+
+def test_clients_that_ask_all_at_once_are_answered_and_pass_no_limit() -> None:
+    # Guards against descriptors that are passed, or run out on a dial, when those who rested all ask in one moment.
+    bench = Bench()
+    bench.admission.most = OWN + 40
+    clients = [bench.client() for _ in range(40)]
+    for number, each in enumerate(clients):
+        each.receive(b"OPEN %x k c=browse,d=2000\r\n" % number)
+        for asked in bench.module.of(api.Request)[len(bench.reactor.dialled):]:
+            bench.act(api.Send(asked.request, "a", 0))
+    held = sum(not each.lost for each in clients) + len(bench.reactor.dialled)
+    assert held <= 40 + CLOSING and len(bench.reactor.dialled) >= 20 - CLOSING
+    answers = [each.lines() for each in clients if not each.aborted]
+    assert answers.count([b"BUSY"]) + len(bench.reactor.dialled) == len(answers)
+
+
 # Descriptors that run out
 
 def raises(one: OneRelay) -> Callable[..., Dialled]:
