A relay that ends answers whoever its system took, and an orphaned successor serves at once

Cause, read in the code and forced by tests that fail without the mend: - with nobody left a relay ended from half its longest deadline on (0.25 s after SIGTERM at 0.3 s), while clients come for 0.4 s: it stays for 0.5 s at least; - connections that the kernel had accepted as the listener closed were reset unread, and those accepted in the last 0.1 s had no time. The queue is taken whole and closed with the decision to go; what is read after it is refused, as before; - resting clients, and half a line at the last call, were closed without a word: a request that crossed the end had no answer. They are answered ERR 0.05 s before the end; - a new version that had been handed the socket waited for its list, 4 s at most, also once the old one was dead: nobody read the queue. It serves at once (4.0 s from kill to UP before, in the test that now wants under 2 s).

--- a/scaledeal/net/gate.py
+++ b/scaledeal/net/gate.py
@@ -7,11 +7,15 @@
 
 from twisted.internet import tcp
 from twisted.internet.interfaces import IAddress
+from twisted.internet.main import CONNECTION_DONE
 from twisted.internet.protocol import ServerFactory
+from twisted.python.failure import Failure
 
 from scaledeal.net.admission import CLOSING
 from scaledeal.net.user_agent import Reception, UserAgent
 
+BACKLOG = 1024  # connections that wait in the queue
+
 
 class Door(ServerFactory):
     """Makes a user agent's side for each new connection."""
@@ -35,6 +39,7 @@
 
     # Guards against a queue that ends for the process it was handed to, too.
     _shouldShutdown = False  # noqa: N815
+    _took = False  # whether connections were taken here up to the end
 
     def createInternetSocket(self) -> socket.socket:  # noqa: N802, D102
         # Guards against a new version that finds no offer in $TMPDIR and can't listen beside this process.
@@ -45,3 +50,20 @@
     def doRead(self) -> None:  # noqa: N802, D102
         self.numberAccepts = min(self.numberAccepts, CLOSING)
         cast(Any, super()).doRead()
+
+    def loseConnection(self, connDone: Any = Failure(CONNECTION_DONE)) -> Any:  # noqa: N802, N803, B008
+        """Close it soon, with nobody left in its queue."""
+        self._took = self in cast(Any, self.reactor).getReaders()  # else a new version takes them
+        return cast(Any, super()).loseConnection(connDone)
+
+    stopListening = loseConnection  # noqa: N815
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Take all who stand in the queue, then close it."""
+        # Guards against requests that the system took for this process, reset unread with the queue.
+        for _ in range(BACKLOG // CLOSING if self._took else 0):
+            self.numberAccepts = CLOSING
+            self.doRead()
+            if self.numberAccepts <= CLOSING:  # Twisted asks for more the next time where so many came
+                break
+        cast(Any, super()).connectionLost(reason)
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -20,7 +20,7 @@
 from scaledeal.net.discovery_watch import DiscoveryWatch
 from scaledeal.net.driver import Driver
 from scaledeal.net.figures import Figures
-from scaledeal.net.gate import Door, Gate
+from scaledeal.net.gate import BACKLOG, Door, Gate
 from scaledeal.net.handover import Place
 from scaledeal.net.health_probe import HealthProbes
 from scaledeal.net.operators import Operators
@@ -37,7 +37,7 @@
 
 log = logging.getLogger("scaledeal.relay")
 
-BACKLOG = 1024
+COMING = 0.5  # seconds after SIGTERM for which the front still sends new connections here
 KEPT = 1.6  # seconds after SIGTERM for which the standing clients are served as before
 HANDING = 1.0  # seconds after SIGTERM for which connections are handed to a new version before any is moved
 LONGEST_DEADLINE = 3.0  # seconds; SIGKILL follows SIGTERM by the longest deadline, or this, plus 0.7 or more
@@ -82,9 +82,10 @@
         })
         self.admin: Port | None = None
         place = Place(config.folder, config.listen) if config.folder else None
-        self.succession = Succession(reactor, place, self.driver, self.door.reception, self._open)
+        self.succession = Succession(reactor, place, self.driver, self.door.reception, self._open,
+                                     self._take_clients)
         self.sides: list[Side] = []  # doors for other protocols than lines
-        self.adopted = False  # the listening socket was handed over
+        self.adopted = False  # the listening socket was handed over, and another process still serves
         self.gone = False
         self.failure = ""  # why this relay could not start
 
@@ -157,13 +158,18 @@
         if self.port is None or self.service.stage is not Stage.STARTING:
             return
         self.service.started()
-        if self.adopted:
-            self.port.startListening()
-            self._log_listens()
+        self._take_clients()
         self.succession.serve(self.port)
         for side in self.sides:
             side.serve()
 
+    def _take_clients(self) -> None:
+        """Take clients from the queue that was handed over: the list is there, or the process before is gone."""
+        if self.adopted and self.port is not None:
+            self.adopted = False
+            self.port.startListening()
+            self._log_listens()
+
     def _log_listens(self) -> None:
         if self.port is not None:
             log.info("relay %s listens on %s:%d, %d application servers known", self.config.name,
@@ -239,7 +245,9 @@
         if self.service.end(kept, end + LEFT_OVER):
             log.info("told to stop: %d requests and connections to finish", len(self.driver.transactions))
             self.succession.hand_over()
-            self.reactor.callLater(0 if self.succession.replaced else kept, self._leave_when_done)
+            # Guards against a relay of short deadlines that is gone while the front still sends clients.
+            least = 0 if self.succession.replaced else max(kept, COMING)
+            self.reactor.callLater(least, self._leave_when_done)
             self.reactor.callLater(end + LAST_CALL, self._last_call)
 
     def _leave_when_done(self) -> None:
@@ -259,19 +267,31 @@
         self._leave_soon()
 
     def _leave_soon(self) -> None:
-        """Give the clients of the last answers a moment to take them, and take nothing new."""
+        """Take nothing new, refuse who is in the queue, and give all a moment to take their last answers."""
+        if self.driver.leaving:
+            return
         self.driver.leaving = True
+        if not self.succession.replaced:
+            self.succession.close()
+            self._stop_listening()
+        # Guards against a request that comes to a resting client's connection as this process shuts it.
+        self.reactor.callLater(LAST_MOMENT / 2, self.door.reception.admission.close)
         self.reactor.callLater(LAST_MOMENT, self._leave)
 
+    def _stop_listening(self) -> None:
+        port, self.port = self.port, None
+        if port is not None:
+            port.stopListening()
+
     def _leave(self) -> None:
         if not self.gone:
             self.gone = True
             self.succession.close()
             for side in self.sides:
                 side.close()
-            for port in (self.port, self.admin):
-                if port is not None:
-                    port.stopListening()
+            self._stop_listening()
+            if self.admin is not None:
+                self.admin.stopListening()
             self.discovery.close()
             log.info("stopped: %d requests and connections were left", len(self.driver.transactions))
             self.reactor.stop()
--- a/scaledeal/net/succession.py
+++ b/scaledeal/net/succession.py
@@ -20,11 +20,12 @@
     """Owns the claim on an old process's socket, the offer to a new one, and what passes between them."""
 
     def __init__(self, reactor: Reactor, place: Place | None, driver: Driver, reception: Reception,
-                 come: Callable[[int | None], None]) -> None:
+                 come: Callable[[int | None], None], alone: Callable[[], None]) -> None:
         self.driver = driver
         self.reception = reception
         self.admission = reception.admission
         self.come = come  # takes the listening descriptor, and owns it; None where nobody hands one over
+        self.alone = alone  # hears that the process that handed it over is gone
         self.inherited = Inherited(driver)
         self.port: Port | None = None  # where clients are taken, once they are
         self.replaced = False  # a new version serves
@@ -103,6 +104,8 @@
         self.admission.lent = max(0, self.admission.most - count) if count is not None else 0
         if count is None:
             self.inherited.all_left()
+            # Guards against a queue that nobody reads, where the old process died before this one served.
+            self.alone()
 
     def inherit(self, told: Standing) -> None:
         """Hear of a connection that stands at the old process."""
--- a/tests/test_connection_crossings.py
+++ b/tests/test_connection_crossings.py
@@ -4,6 +4,7 @@
 
 import copy
 import errno
+import json
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -16,6 +17,7 @@
 from scaledeal import interface as api
 from scaledeal.net.admission import CLOSING, OWN
 from scaledeal.net.buffers import LINE
+from scaledeal.net.gate import Door, Gate
 from scaledeal.net.transaction import SLACK
 
 FINAL = (b"UP", b"BUSY", b"ERR")
@@ -304,7 +306,118 @@
     assert answers.count([b"BUSY"]) + len(bench.reactor.dialled) == len(answers)
 
 
-# Descriptors that run out
+@pytest.mark.parametrize("served", [False, True])
+@pytest.mark.parametrize("longest", [0.2, 0.9, 3.0, 60.0])
+def test_whoever_comes_or_asks_while_a_relay_ends_has_an_answer(tmp_path: Path, longest: float, served: bool) -> None:
+    # Guards against clients that come for 0.4 s after SIGTERM, requests of resting clients that cross the end, and
+    # requests held or sent at that moment: none may be closed without a word, and nobody stays to the kill.
+    one = OneRelay(tmp_path, 2, site(longest=longest))
+    act = serve if served else up
+    play(one, act, one.reactor.seconds() + 1)
+    clients, came = [one.client(1, int(longest * 1000))], 1
+    resting = [one.resting() for _ in range(23)]
+    one.relay.drain()
+    told = one.reactor.seconds()
+    while not one.stopped:
+        assert one.reactor.seconds() < told + min(longest, 3.0) + 0.7, "still there at the kill"
+        if not one.port.closed:  # the system takes it, and its line comes a moment later
+            resting.append(one.resting())
+        if len(resting) > 4:
+            came += 1
+            clients.append(resting.pop(0))
+            clients[-1].receive(b"OPEN %x k c=browse,d=%d\r\n" % (came, longest * 1000))
+        play(one, act, one.reactor.seconds() + STEP)
+    assert one.port.closed[0] >= told + 0.4 and len(one.port.closed) == 1
+    assert one.relay.driver.levels()["open_requests"] == 0
+    unanswered = [each.lines() for each in clients if len(finals(each)) != 1]
+    assert not unanswered, f"{len(unanswered)} of {len(clients)} were closed without an answer"
+    assert all(each.lines()[-1] == b"MOVE" for each in clients if each.lines()[0] == b"UP 1")
+    silent = [each.lines() for each in resting if each.lines() != [b"ERR"]]
+    assert len(resting) > 3 and not silent, "a request on its way there would have no answer"
+
+
+@pytest.mark.parametrize("longest", [0.2, 0.9, 60.0])
+def test_a_relay_that_has_nobody_still_takes_who_comes_after_its_end_was_told(tmp_path: Path, longest: float) -> None:
+    # Guards against clients that come for 0.2 to 0.4 s after SIGTERM and meet a closed door.
+    one = OneRelay(tmp_path, 2, site(longest=longest))
+    one.run(1)
+    one.relay.drain()
+    one.run(0.4)
+    late = one.client(1, 200)
+    assert not one.port.closed
+    play(one, serve, 1001.4 + min(longest, 3.0) + 0.3)
+    assert late.lines() == [b"UP 1", b"MOVE"] and one.stopped
+
+
+def test_connections_that_the_system_took_are_answered_as_the_queue_closes() -> None:
+    # Guards against requests reset unread with the queue: they were taken, and nobody had accepted them yet.
+    import socket
+
+    from twisted.internet import reactor
+    bench = Bench()
+    bench.driver.leaving = True
+    gate: Any = Gate(0, Door(bench.reception), 64, "127.0.0.1", reactor)
+    gate.startListening()
+    at = ("127.0.0.1", gate.getHost().port)
+    gate.stopListening()
+    clients = [socket.create_connection(at) for _ in range(2 * CLOSING + 3)]  # it closes in the reactor's next round
+    for number, each in enumerate(clients):
+        each.sendall(b"OPEN %x k c=browse,d=2000\r\n" % number)
+    for _ in range(200):
+        reactor.iterate(0.001)  # type: ignore[attr-defined]
+        bench.reactor.advance(0)
+    for each in clients:
+        each.settimeout(5)
+        assert each.recv(64) == b"BUSY\r\n"
+        each.close()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(at)
+    reactor.iterate(0.001)  # type: ignore[attr-defined]
+
+
+# SIGHUP, and descriptors that run out
+
+def script(folder: Path, reload_at: int) -> tuple[list[list[bytes]], list[str]]:
+    """Play clients in every stage, with a new discovery named at one step; return what they and the servers heard."""
+    one = OneRelay(folder, 1, site())
+    one.run(5)  # it serves
+    one.path.write_text(json.dumps(one.written | {"discovery": "127.0.0.9:10"}))
+    resting, half, held = one.resting(), one.resting(), one.client(1, 400, b",at=nowhere")
+    half.receive(b"OPEN 2 7f3a c=browse,d=20")
+    clients = [resting, half, held]
+    for step in range(300):
+        if step == reload_at:
+            one.relay.reload()
+            assert one.relay.gone or ":10/" in one.relay.discovery.base and one.relay.discovery.asked, "not asked"
+        if step in (4, 8, 12, 16):  # connecting, sending, waiting, standing by the time of the next
+            clients.append(one.client(step, 3000))
+        for number, each in enumerate(one.attempts()):
+            if each.wire is None and not each.over and step >= 6 + 4 * number:
+                each.up(one.reactor)
+            elif each.wire is not None and not each.wire.lost and step >= 10 + 4 * number:
+                each.wire.flush()
+                if step == 14 + 4 * number:
+                    each.wire.receive(b"UP 1\r\n")
+                elif step == 60 + number and number < 2:
+                    each.wire.receive(b"BYE\r\n")
+        if step == 30:
+            half.receive(b"00\r\n")
+            resting.receive(b"PING\r\n")
+        if step == 100:
+            one.relay.drain()
+        one.reactor.advance(0.02)
+    assert one.stopped
+    return [each.lines() for each in clients], [each.wire.sent.decode() for each in one.attempts() if each.wire]
+
+
+def test_sighup_at_any_moment_changes_nothing_for_a_client(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("PROXY_CONFIG", str(tmp_path / "c.json"))
+    without = script(tmp_path, -1)
+    words = sorted({line.split(b" ")[0] for lines in without[0] for line in lines})
+    assert words == [b"BYE", b"ERR", b"MOVE", b"PONG", b"UP"], "the script plays too little"
+    for step in range(0, 260, 4):
+        assert script(tmp_path, step) == without, f"SIGHUP at step {step}"
+
 
 def raises(one: OneRelay) -> Callable[..., Dialled]:
     def connect(*_: Any, **__: Any) -> Dialled:
--- a/tests/test_relay_process.py
+++ b/tests/test_relay_process.py
@@ -88,15 +88,21 @@
     def accept(self) -> Line:
         return Line(self.sock.accept()[0])
 
+    def request(self) -> tuple[Line, str] | None:
+        """Accept one connection; None where it is a probe."""
+        line = self.accept()
+        first = line.read()
+        if first != "STATS":
+            return line, first
+        with contextlib.suppress(ConnectionError):  # a probe that waited too long is given up
+            line.send("PONG eps=0.0,inflight=1,x0=0.2")
+        return None
+
     def asked(self) -> tuple[Line, str]:
         """Accept connections up to one that is no probe."""
         while True:
-            line = self.accept()
-            first = line.read()
-            if first != "STATS":
-                return line, first
-            with contextlib.suppress(ConnectionError):  # a probe that waited too long is given up
-                line.send("PONG eps=0.0,inflight=1,x0=0.2")
+            if request := self.request():
+                return request
 
 
 class World:
@@ -216,9 +222,16 @@
         assert told.endswith("\r\n")
         return told.removesuffix("\r\n")
 
+    def asked(self) -> tuple[Line, str]:
+        """Accept connections at any server, up to one that is no probe."""
+        while True:
+            ready = select.select([each.sock for each in self.servers], [], [], PATIENCE)[0]
+            if request := next(each for each in self.servers if each.sock in ready).request():
+                return request
+
     def stand(self, number: int = 1) -> tuple[Line, Line]:
         client = self.client(ask(number))
-        server, _ = self.servers[0].asked()
+        server, _ = self.asked()
         server.send("UP 1")
         assert client.read() == "UP 1"
         return client, server
@@ -784,6 +797,67 @@
         world.end()
 
 
+@pytest.mark.parametrize("accepted", [False, True])
+def test_a_relay_killed_behind_an_accept_leaves_no_client_hanging(world: World, accepted: bool) -> None:
+    # Guards against a client that waits at a queue, or at a connection, of which nobody reads any more.
+    world.env = {**world.env, "PROXY_LISTEN": f"127.0.0.1:{world.port}"}
+    resting = world.client("PING")
+    assert resting.read() == "PONG"
+    world.process.send_signal(signal.SIGSTOP)
+    if accepted:  # by the relay, its line unread
+        client = resting
+        client.send(ask())
+    else:  # by the system alone
+        client = world.client(ask())
+    world.process.kill()
+    assert client.broke()
+    world.process.wait()
+    world.run()
+    world.watch, world.query = world.next_watch(world.discovery.accept())
+    again, _ = world.stand()
+    assert again
+
+
+def test_what_the_system_took_for_a_relay_that_is_killed_is_its_successors(tmp_path: Path) -> None:
+    # Guards against a queue that was handed over and is read by nobody until the new version has its list.
+    with contextlib.closing(World(tmp_path)) as world, contextlib.closing(world.beside()) as new:
+        world.process.send_signal(signal.SIGSTOP)
+        client = world.client(ask())
+        world.process.kill()
+        killed = time.monotonic()
+        server, _ = world.servers[0].asked()
+        server.send("UP 1")
+        assert client.read() == "UP 1" and time.monotonic() - killed < 2, "it waited for the list"
+        new.tell(9, new.entries(), snapshot=True)
+        assert new.stand(2) and new.call("PING") == "ok serving, 2 connections stand"
+
+
+def test_a_dial_without_a_descriptor_is_answered_and_gives_all_back(tmp_path: Path) -> None:
+    # Guards against requests that wait in vain, servers suspected and descriptors lost, where the system has none left.
+    with contextlib.closing(World(tmp_path, servers=2)) as world:
+        clients = [world.client("PING") for _ in range(8)]
+        assert [each.read() for each in clients] == ["PONG"] * 8
+        before, pid = world.held(), world.process.pid
+        limits = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        open_now = {int(each) for each in os.listdir(f"/proc/{pid}/fd")}
+        first_free = next(number for number in range(limits[0]) if number not in open_now)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (first_free, limits[1]))
+        for number, each in enumerate(clients):
+            each.send(ask(number))
+        assert [each.read() for each in clients] == ["BUSY"] * 8 and all(each.ended() for each in clients)
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
+        for each in clients:
+            each.close()
+        assert "relay_out_of_rotation 0" in world.call("INFO"), "a server was blamed"
+        client, server = world.stand(99)
+        client.close()
+        assert server.ended()
+        until = time.monotonic() + PATIENCE
+        while world.held() > before - 8 + 2 and time.monotonic() < until:  # those that probes keep
+            pass
+        assert world.held() <= before - 8 + 2
+
+
 def test_a_client_that_does_not_read_stops_its_server_and_loses_nothing(world: World) -> None:
     # Guards against a flood that piles up in the relay until it is killed for its memory.
     client, server = world.stand()
