Force the crossing of requests and the first list

Requests that came before any list are held and sent with the first one: no relay turns them away for want of a list while they have time left. No fault found; without the addresses of that list the test fails.

--- a/tests/test_connection_crossings.py
+++ b/tests/test_connection_crossings.py
@@ -242,6 +242,18 @@
             assert all(each.over for each in one.attempts()) and not [w for w in up(one, 0) if not w.closing], where
 
 
+def test_requests_that_came_before_any_list_are_sent_with_the_first_one(tmp_path: Path) -> None:
+    # Guards against a relay that turns away all it gets for seconds after a start without a list.
+    one = OneRelay(tmp_path, 0)
+    clients = [one.client(number) for number in range(1, 21)]
+    one.run(2)
+    assert not [each for each in clients if each.lines()], "turned away with time left"
+    new = api.Membership(api.MembershipKind.FULL, tuple(api.ServerEntry(f"s{n}") for n in range(3)))
+    one.relay._listed(new, {f"s{n}": f"127.0.0.1:{n + 1}" for n in range(3)})
+    play(one, serve, one.reactor.seconds() + 0.5)
+    assert [each.lines() for each in clients] == [[b"UP 1"]] * 20
+
+
 @pytest.mark.parametrize("fails", ["Request", "Outcome", "Timer"])
 def test_a_module_that_fails_leaves_no_request_unanswered(tmp_path: Path, fails: str) -> None:
     one = OneRelay(tmp_path, 2)
