--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -31,7 +31,7 @@
 # Placement
 SLOT_WAIT, NEEDED = 0.5, 0.5  # windows to wait for a slot; mean load from which none is left to lapse
 STAY_UNDER = 0.7  # utilisation up to which a group keeps to its first server, or is moved to another
-BOUND = 1.25  # multiple of the mean up to which it does where that is high and no newcomer has room
+BOUND = 1.25  # multiple of the mean up to which it does where that is high
 FULL = 0.9  # utilisation up to which servers share what comes by the room they have
 STAY_RATIO, KEEP_UNDER = 1.5, 0.9  # without reports: multiple of the mean load; of a slow one's load
 TOGETHER = 6.0  # connections of a group that stay together before the first reports have come
@@ -739,8 +739,7 @@
         if self.probes >= 1 + PROBE_KEPT:
             due = sorted((s for s in self.live if s.probe_at <= self.now), key=lambda s: s.probe_at)
             self._probe(due, PROBE_KEPT)
-        warm = not any(map(self.cold, self.live))
-        self.bound = max(STAY_UNDER, warm * BOUND * self.ladder.last_index / 100)
+        self.bound = max(STAY_UNDER, BOUND * self.ladder.last_index / 100)
         self._learn_load(TICK)
         self._sample()
         self._empty()
