--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -44,7 +44,8 @@
         self.start = self.drivers[0].now + 4 * SECOND - self.age
         for driver in self.drivers:
             driver.wait(4 * SECOND - min(self.age, 3 * SECOND))
-            driver.members(api.MembershipKind.CHANGES, tuple(api.ServerEntry(n, started=self.start) for n in self.sends))
+            news = tuple(api.ServerEntry(name, started=self.start) for name in self.sends)
+            driver.members(api.MembershipKind.CHANGES, news)
             driver.wait(min(self.age, 3 * SECOND))
             self._tell(driver)
 
@@ -131,7 +132,8 @@
     # Guards against one send of each gateway, however small its part: 32 relays sent 28 within 0.1 s, 230 would 230.
     for seed in range(4 if relays < 100 else 1):
         storm = Storm(relays, warm, dying, newcomers, seed).run()
-        assert storm.worst() <= 1, f"{storm.worst():.2f} of what the rule bears, seed {seed}, {storm.age / SECOND:.1f} s old"
+        told = f"{storm.worst():.2f} of what the rule bears, seed {seed}, {storm.age / SECOND:.1f} s old"
+        assert storm.worst() <= 1, told
 
 
 @pytest.mark.parametrize(("relays", "warm", "dying", "newcomers"), [(32, 4, 6, 3), (32, 0, 8, 2), (100, 2, 12, 2)])
