--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -740,12 +740,12 @@
             due = sorted((s for s in self.live if s.probe_at <= self.now), key=lambda s: s.probe_at)
             self._probe(due, PROBE_KEPT)
         self.bound = max(STAY_UNDER, BOUND * self.ladder.last_index / 100)
-        self._learn_load(TICK)
         self._sample()
         self._empty()
         self._move()
         if self.now >= self.step_at:
             self.step_at = self.now + INTERVAL
+            self._learn_load(INTERVAL)
             if self.ladder.step(self.now, [self._charge(c) for c in range(len(self.settings.classes))]):
                 severe = ", severely overloaded: refusing all" * (self.ladder.rung == RUNGS - 1)
                 self.out.append(api.Log(f"ladder on rung {self.ladder.rung}{severe}"))
