Have clients that come again wait a window for a slot where warm servers are asked over half

A request whose class bars all servers after a failed attempt is answered at once again: it was held since the slots came (test_connection_crossings.py, 'once').

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -29,9 +29,8 @@
 ESTIMATE_WINDOW = 20 * SECOND  # window of the admission estimate that rungs are fractions of
 
 # Placement
-SLOT_WAIT, NEEDED = 0.5, 0.5  # windows to wait for a slot; mean load from which none is left to lapse
 STAY_UNDER = 0.7  # utilisation up to which a group keeps to its first server, or is moved to another
-BOUND = 1.25  # multiple of the mean up to which it does where that is high
+BOUND, NEEDED = 1.25, 0.5  # multiple of the mean up to which it does where that is high; mean to need slots
 FULL = 0.9  # utilisation up to which servers share what comes by the room they have
 STAY_RATIO, KEEP_UNDER = 1.5, 0.9  # without reports: multiple of the mean load; of a slow one's load
 TOGETHER = 6.0  # connections of a group that stay together before the first reports have come
@@ -435,24 +434,25 @@
         told = ((s.weight * s.warmth, None if self.cold(s) else self.utilisation(s)) for s in self.live)
         self.cold_start.learn(passed, told)
 
-    def _awaits_slot(self, flight: Flight) -> bool:
-        """Tell whether a slot comes soon enough to wait for where all are crowded, and set its timer."""
-        waits = [self.cold_start.wait(s.slots, s.weight * s.warmth) for s in self.live if self._takes(s)]
-        last = flight.since + SLOT_WAIT * self.cold_start.window
-        last = min(last, flight.deadline - self.set_up_time - 2 * TICK)
-        if not waits or len(self.held) > WAITING or self.now + min(waits) > last:
+    def _awaits_slot(self, flight: Flight, first: Server) -> bool:
+        """Tell whether a slot at a cold server is better waited for than the first taken; set a timer."""
+        # Guards against a crowd that comes again and all goes to the warm server told of as idlest.
+        crowd = not flight.roomy or (flight.returning and self.cold_start.mean >= NEEDED)
+        cold = [s for s in self.live if self._takes(s)] if crowd else []
+        due = [self.now + self.cold_start.wait(s.slots, s.weight * s.warmth) for s in cold]
+        last = min(flight.since + self.cold_start.window, flight.deadline - self.set_up_time - 2 * TICK)
+        if first.warmth < 1 or len(self.held) > WAITING or min(due, default=last) >= last:
             return False
         if self.slot_timer <= self.now:
-            self.slot_timer = self.now + min(waits)
-            self.out.append(api.SetTimer(min(waits), 1))
+            self.slot_timer = min(due)
+            self.out.append(api.SetTimer(self.slot_timer - self.now, 1))
         return True
 
     # Placement
 
     def _ready(self, flight: Flight) -> list[Server]:
         """Return the servers a new connection may go to; the doubtful ones only when there are no others."""
-        live = [s for s in self.live if self._allowed(flight, s)] if flight.attempts else self.live
-        ready = self._in_rotation(live)
+        ready = self._in_rotation([s for s in self.live if self._allowed(flight, s)])
         # Guards against slots that lapse while warm servers are asked too much.
         newcomers = [s for s in ready if self._takes(s)] if self.cold_start.mean >= NEEDED else []
         return newcomers or ready
@@ -574,7 +574,7 @@
     def _place(self, flight: Flight) -> None:
         # Guards against a dead gateway's clients all coming at once: more than a shared store can take.
         pair = self._pair(flight, self._ready(flight)) if self.pending < int(self.window) else []
-        if pair and (flight.roomy or not self._awaits_slot(flight)) and not self._asks(flight, pair):
+        if pair and not self._awaits_slot(flight, pair[0]) and not self._asks(flight, pair):
             self._send(flight, self._choose(flight, pair))
         elif not pair and flight.deadline - self.now <= self.set_up_time + 2 * TICK:
             self._give_up(flight, "no server in time")  # guards against holding a repeat until after its time
@@ -663,7 +663,8 @@
 
     def _again(self, flight: Flight) -> None:
         spent = len(flight.attempts) >= self.settings.max_attempts or self.retries < 1
-        if spent or flight.deadline - self.now <= self.set_up_time or not self.live:
+        barred = not any(self._allowed(flight, s) for s in self.live)
+        if spent or barred or flight.deadline - self.now <= self.set_up_time:
             self._give_up(flight, "retries spent" if spent else "no time to retry")
         else:
             self.retries -= 1
