--- a/scaledeal/cold_start.py
+++ b/scaledeal/cold_start.py
@@ -50,8 +50,8 @@
 
     def warmth(self, age: int) -> float:
         """Return the part of its capacity that a server of this age has at the least."""
-        s = self.settings
-        return s.cold_share + (1 - s.cold_share) * max(0, age) / s.warm_after if age < s.warm_after else 1.0
+        s, age = self.settings, max(0, age)  # a start that is still to come is no less than cold
+        return s.cold_share + (1 - s.cold_share) * age / s.warm_after if age < s.warm_after else 1.0
 
     def report(self, weight: float, connections: float, utilisation: float) -> None:
         """Learn from a warm server's report how many connections fill one."""
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -149,6 +149,27 @@
         assert storm.worst() <= 1, f"{storm.worst():.2f} of what the rule bears, seed {seed}"
 
 
+@pytest.mark.parametrize("told", [math.nan, math.inf, -0.5, 101.0])
+def test_a_report_or_load_that_cannot_be_leaves_the_last_good_value(told):
+    storm = Storm(1, 3, 1, 1, seed=1)
+    balancer = storm.drivers[0].balancer
+    kept = balancer.servers["s0"].reported, balancer.cold_start.held, balancer.unit, balancer.load_sum[:]
+    storm.drivers[0].event(api.ProbeResult("s0", api.Result.OK, MS, (told, 10.0)))
+    if not 0 < told < math.inf:
+        storm.drivers[0].event(api.Note("old", 0, "s0", api.NoteKind.LOAD, told))
+    assert kept == (balancer.servers["s0"].reported, balancer.cold_start.held, balancer.unit, balancer.load_sum)
+
+
+@pytest.mark.parametrize("warm_after", [0, 9 * SECOND])
+@pytest.mark.parametrize("later", [-3 * SECOND, 5 * SECOND, 500 * SECOND])
+def test_a_start_that_moves_makes_no_server_warmer_and_none_colder_than_cold(warm_after, later):
+    driver = Driver(replace(SITE, warm_after=warm_after))
+    driver.members(api.MembershipKind.CHANGES, (api.ServerEntry("new", started=driver.now),))
+    was = driver.balancer.servers["new"].warmth
+    driver.members(api.MembershipKind.CHANGES, (api.ServerEntry("new", started=driver.now + later),))
+    assert driver.balancer.servers["new"].warmth == was == (SITE.cold_share if warm_after else 1.0)
+
+
 class FloorOfOne(ColdStart):
     """Each gateway may send one in a window, however small its part."""
 
