--- a/scaledeal/lab/hosts/relay/reactor.py
+++ b/scaledeal/lab/hosts/relay/reactor.py
@@ -176,6 +176,10 @@
         """Read what has come, and hand it on."""
         self._read()
 
+    def doWrite(self) -> None:  # noqa: N802
+        """Write of what is queued as much as the peer takes now."""
+        self._write()
+
     def _read(self) -> None:
         self._read_due = False
         if not self.reading or self.lost:
--- a/scaledeal/net/lines.py
+++ b/scaledeal/net/lines.py
@@ -90,6 +90,12 @@
             self.closing = True
             self.wire.abortConnection()
 
+    def break_off(self) -> None:
+        """Write what the peer takes now, and close; a reset alone takes along what the loop has not written yet."""
+        if self.wire is not None and self.wire in self.reactor.getWriters():
+            self.wire.doWrite()
+        self.reset()
+
     def end_sending(self) -> None:
         """End the sending once what is queued is written."""
         if self.wire is not None and not self.closing:
--- a/scaledeal/net/ports.py
+++ b/scaledeal/net/ports.py
@@ -53,6 +53,9 @@
     def doRead(self) -> object:  # noqa: N802
         """Read what has come, and hand it on."""
 
+    def doWrite(self) -> object:  # noqa: N802
+        """Write of what is queued as much as the peer takes now."""
+
     def write(self, data: bytes) -> None:
         """Queue bytes."""
 
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -275,7 +275,8 @@
         """Close as the application server's side did."""
         self._over()
         if broke:
-            self.reset()
+            # Guards against an answer that is passed on and never read, as its server dies right behind it.
+            self.break_off()
         else:
             self.end()
 
--- a/tests/netfakes.py
+++ b/tests/netfakes.py
@@ -90,6 +90,9 @@
         if self.closing:
             self.lose(error.ConnectionDone())
 
+    def doWrite(self) -> None:
+        self.flush()
+
     def loseConnection(self) -> None:
         self.closing = True
 
--- a/tests/test_connection_crossings.py
+++ b/tests/test_connection_crossings.py
@@ -87,6 +87,21 @@
     assert client.lines() == [b"UP 8"]
 
 
+@pytest.mark.parametrize("goes", [ends, resets])
+def test_a_server_that_dies_right_behind_its_answer_takes_no_answer_along(tmp_path: Path, goes: Any) -> None:
+    # Guards against a request that is lost: the answer was queued for the client as the reset was passed on.
+    one = OneRelay(tmp_path, 1, site("repeatable"))
+    client = one.client(1)
+    server = one.attempts()[0].up(one.reactor)
+    server.flush()
+    server.receive(b"UP 7\r\n")
+    assert not client.sent, "written already: nothing crosses"
+    goes(server)
+    one.reactor.advance(0)
+    client.flush()
+    assert client.sent == b"UP 7\r\n", f"{client.sent!r} reached the client"
+
+
 # A request in pieces, and in every form
 
 OPENS = [b"OPEN %s" % each for each in (
