Guard every send, repeat, refusal and close of a request, and count what breaks a rule

RequestGuard is the one place that says whether a request may be sent, repeated, refused or closed; violations and what was prevented are counted by rule in INFO and told in the last log line. New figures and log lines: steps of the wall clock, delays of the event loop, why each request ended. accept() goes by one table of its documented errors: no connection is closed unread for a moment's shortage, no traceback.

--- a/scaledeal/cli/sessions.py
+++ b/scaledeal/cli/sessions.py
@@ -39,7 +39,7 @@
 
 
 def _line(each: Register) -> str:
-    left = (each.expires - time.time_ns()) / 1e9
+    left = (each.expires - time.time_ns()) / 1e9  # noqa: TID251 - a command reads the wall clock once
     state = "answered" if each.answered else f"{left:.0f} s left" if left > 0 else "expired"
     return (f"{each.session}  epoch {each.epoch}  at {each.holder}  applied {each.applied}  sent {each.sent}  "
             f"unheard {len(each.outbox)}  {state}")
@@ -73,7 +73,8 @@
 ) -> None:
     """Forget the sessions whose time is up. A relay does so by itself."""
     with _ledger(ledger) as opened:
-        typer.echo(f"{opened.expire(time.time_ns())} sessions forgotten")
+        now = time.time_ns()  # noqa: TID251 - a command reads the wall clock once
+        typer.echo(f"{opened.expire(now)} sessions forgotten")
         if compact:
             opened.compact()
 
--- a/scaledeal/net/admission.py
+++ b/scaledeal/net/admission.py
@@ -76,6 +76,11 @@
         # Guards against clients that came while there was room for them, and then ask all at once.
         return self._make_room(0)
 
+    def shed(self) -> None:
+        """Have the oldest idle client go, if there is one: the system is short of descriptors or memory."""
+        if (self.silent or self.writers) and not self._reading:
+            self._send_away_oldest()
+
     def _make_room(self, more: int) -> bool:
         if self._full(more) and self._probing():
             self.end_probes(PROBES)
--- a/scaledeal/net/app_server.py
+++ b/scaledeal/net/app_server.py
@@ -13,6 +13,7 @@
 from scaledeal.net.buffers import BufferPool
 from scaledeal.net.lines import END, LineLink
 from scaledeal.net.ports import Connector, Reactor
+from scaledeal.net.socket_errors import is_own_fault
 
 
 class LinkEvents(Protocol):
@@ -104,7 +105,13 @@
         return self.link
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:  # noqa: N802, D102
-        self.link.owner.connect_failed(reason.check(error.ConnectBindError) is not None)
+        self.link.owner.connect_failed(_ours(reason))
+
+
+def _ours(reason: Failure) -> bool:
+    """Tell whether a connection did not come up for want of a socket, an address or memory here."""
+    bind_failed = reason.check(error.ConnectBindError) is not None
+    return bind_failed or is_own_fault(getattr(reason.value, "osError", None))
 
 
 def dial(link: AppServerLink, address: str, timeout: float) -> Connector | None:
--- a/scaledeal/net/attempt.py
+++ b/scaledeal/net/attempt.py
@@ -144,6 +144,9 @@
         """Send the first line."""
         if self.stage is Stage.CONNECTING:
             self.connector = None
+            if not self.events.may_write():
+                self._stop(api.Result.CONNECT_FAILED)
+                return
             self.stage = Stage.SENDING
             self.link.send_first(self.line, self._written)
         elif self.stage is not Stage.STANDING:
--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -16,10 +16,12 @@
 from scaledeal import interface as api
 from scaledeal.net.config import ConfigError, address
 from scaledeal.net.delays import Delays
-from scaledeal.net.figures import Figures
+from scaledeal.net.figures import EndCause, Figures
+from scaledeal.net.invariants import Invariants
 from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.load_reports import LoadReports
 from scaledeal.net.ports import Reactor, Timer
+from scaledeal.net.request_guard import RequestGuard
 from scaledeal.net.sides import Agent, Ask, Prober
 from scaledeal.net.trace import Trace
 from scaledeal.net.transaction import State, Transaction
@@ -27,6 +29,7 @@
 
 log = logging.getLogger("scaledeal.driver")
 
+GRACE = 1_000_000_000  # ns within which sends to a draining server stop, where nothing is said of it
 LOOK = 100_000_000  # ns between two looks at the connections that stand
 
 
@@ -34,7 +37,7 @@
     """Owns the balancer, the clock, its timers and the table of transactions."""
 
     def __init__(self, reactor: Reactor, settings: api.Settings, seed: int, figures: Figures,
-                 clock: Callable[[], int] = time.monotonic_ns) -> None:
+                 clock: Callable[[], int] = time.monotonic_ns, drain_grace: int = GRACE) -> None:
         self.reactor = reactor
         self.clock = clock
         self.balancer = Balancer(settings, seed)
@@ -44,6 +47,8 @@
         self.load_lines = LoadLines(self.delays.least / 1e6, self.now)
         self.load_reports = LoadReports(settings)
         self.figures = figures
+        self.invariants = Invariants(self.now)
+        self.guard = RequestGuard(settings, drain_grace, self.now, self.invariants)
         self.draining = False  # whatever comes up is moved at once
         self.leaving = False  # whatever is asked for is refused: the process is about to go
         self.prober: Prober | None = None
@@ -155,6 +160,18 @@
         self.transactions.pop(transaction.handle, None)
         self.load_lines.forget(transaction.handle)
 
+    def ended(self, transaction: Transaction, cause: EndCause) -> None:
+        """Count why a request is over, and note it where decisions are written down."""
+        self.figures.ended[cause] += 1
+        if self.trace is not None:
+            self.trace.over(self.now(), transaction.handle, transaction.ask.name, transaction.server, cause.value)
+
+    def process_ends(self) -> None:
+        """Hear that the process is about to end: what still waits for its answer is a violation."""
+        for transaction in self.transactions.values():
+            if transaction.state is State.WAITING:
+                self.guard.process_ends(transaction.owed)
+
     def overdue(self, transaction: Transaction) -> None:
         """Note that the decision module left a request unanswered."""
         log.warning("request of class %d answered at its deadline: the module held it",
@@ -191,6 +208,7 @@
     def listed(self, event: api.Membership, addresses: dict[str, str]) -> None:
         """Take news of the list."""
         self.addresses.update(_sound(addresses))
+        self.guard.listed(event)
         self.post(event)
         stopped = {e.server for e in event.servers if e.state is not api.ServerState.LIVE}
         if event.kind is api.MembershipKind.FULL:
--- a/scaledeal/net/handover.py
+++ b/scaledeal/net/handover.py
@@ -11,7 +11,6 @@
 import os
 import socket
 import stat
-import time
 from hashlib import blake2b
 from pathlib import Path
 from typing import Any, Protocol, cast
@@ -27,6 +26,7 @@
 
 from scaledeal.net.config import Address
 from scaledeal.net.inherited import Standing
+from scaledeal.net.offers import next_offer
 from scaledeal.net.ports import Port, Reactor, Timer
 
 log = logging.getLogger("scaledeal.handover")
@@ -64,8 +64,6 @@
     handle: str
 
 
-
-
 class Serving(msgspec.Struct, frozen=True, tag="serving"):
     """What the new process says once it takes clients."""
 
@@ -133,7 +131,7 @@
 
     def open(self) -> None:
         """Offer the socket from now on."""
-        path = str(self.place.folder / f"{self.place.prefix}{time.time_ns():016x}")
+        path = str(next_offer(self.place.folder, self.place.prefix))
         try:
             port = cast(Port, cast(Any, _OfferPort)(path, self, 4, 0o600, self.reactor))
             port.startListening()
--- a/scaledeal/net/lines.py
+++ b/scaledeal/net/lines.py
@@ -32,6 +32,7 @@
         self.pool = pool
         self.wire: Transport | None = None  # none before the connection stands and after it is lost
         self.closing = False  # no line is taken or sent any more
+        self.closed_here = False  # once it is over: whether this end closed it
         self._part: bytearray | None = None
         self._filled = 0
         self._timer: Timer | None = None  # the linger while closing, the stall while the sink takes nothing
@@ -200,7 +201,7 @@
 
     def connectionLost(self, reason: Failure = cast(Failure, None)) -> None:  # noqa: N802, B008, D102
         self.wire = None
-        self.closing = True
+        self.closing, self.closed_here = True, self.closing
         self._stop_timer()
         self._give_back()
         self.link_lost(reason.check(error.ConnectionDone, error.ConnectionAborted) is None)
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -16,6 +16,7 @@
 from scaledeal.net.admission import Admission, most_descriptors
 from scaledeal.net.attempt import AttemptContext
 from scaledeal.net.buffers import BufferPool
+from scaledeal.net.clocks import ClockMonitor, UnixClock
 from scaledeal.net.config import Config
 from scaledeal.net.discovery_watch import DiscoveryWatch
 from scaledeal.net.driver import Driver
@@ -56,12 +57,15 @@
         self.system = system or System()
         document = config.document
         self.figures = Figures(tuple(entry.name for entry in document.classes))
-        self.driver = Driver(reactor, config.settings, config.seed, self.figures, self.system.monotonic)
+        self.driver = Driver(reactor, config.settings, config.seed, self.figures, self.system.monotonic,
+                             int(config.document.rules.drain_grace))
         self._trace()
         pool = BufferPool()
         context = AttemptContext(reactor, pool, self.driver.now, report_reader(document.report.fields),
                       int(document.caps.dial_timeout))
-        self.catalog = Catalog(document.failure_domains, Calendar(self.system.monotonic(), self.system.unix()))
+        self.unix_clock = UnixClock(self.system.monotonic, self.system.unix())
+        self.clocks = ClockMonitor(reactor, self.system.monotonic, self.system.unix)
+        self.catalog = Catalog(document.failure_domains, Calendar(self.unix_clock.offset))
         self.discovery = self._watch()
         self.driver.watch = lambda: self.discovery.watch()
         classes = {entry.name: number for number, entry in enumerate(document.classes)}
@@ -117,6 +121,7 @@
         except told.ConfigError as error:
             self._give_up(error)
             return
+        self.clocks.start()
         self.driver.look_round()
         self.succession.begin()
 
@@ -192,7 +197,9 @@
         self.reactor.callWhenRunning(self.reactor.stop)
 
     def _figures(self) -> list[str]:
-        return self.figures.lines(self.driver.levels()) + [line for side in self.sides for line in side.lines()]
+        sides = [line for side in self.sides for line in side.lines()]
+        own = self.driver.invariants.lines() + self.clocks.lines()
+        return self.figures.lines(self.driver.levels()) + own + sides
 
     def _told(self, yes: bool) -> str:
         stage = self.service.stage.name.lower().replace("_", " ")
@@ -201,7 +208,7 @@
     def _watch(self) -> DiscoveryWatch:
         where = self.config.discovery
         return DiscoveryWatch(self.reactor, where.host, where.port, self.catalog, self._listed, self._times(),
-                              lambda: self.system.unix() / 1e9)
+                              self.unix_clock.seconds)
 
     def _times(self) -> WatchTimes:
         settings, rules = self.config.settings, self.config.document.rules
@@ -299,5 +306,8 @@
             if self.admin is not None:
                 self.admin.stopListening()
             self.discovery.close()
-            log.info("stopped: %d requests and connections were left", len(self.driver.transactions))
+            self.clocks.stop()
+            self.driver.process_ends()
+            log.info("stopped: %d requests and connections were left; invariants: %s", len(self.driver.transactions),
+                     self.driver.invariants.summary())
             self.reactor.stop()
--- a/scaledeal/net/roster.py
+++ b/scaledeal/net/roster.py
@@ -19,6 +19,7 @@
 _ORDER = ("active", "leaving", "left")  # a process never goes back in this row
 _ADDRESS = re.compile(r"\S+:([0-9]{1,5})")
 
+PLAUSIBLE = 60_000.0  # ms of age that a start may have when the first list that tells of it comes on a watch
 AHEAD = 1000.0  # ms by which a start may lie ahead of this machine's clock without a word
 LEAST_WEIGHT, MOST_WEIGHT = 1e-6, 1e9  # past these a ranking by weight divides by nothing, or ranks nobody else
 REMEMBERED = 4096  # servers whose starts are kept, listed or not
@@ -69,12 +70,13 @@
 class Calendar:
     """Turns discovery's Unix times into the driver's clock.
 
-    Guards against a process that seems to have started anew: both clocks are read once, so an unchanged
-    ``since_ms`` gives the same moment in every list.
+    Guards against a process that seems to have started anew: the offset is that of ``UnixClock``, so an unchanged
+    ``since_ms`` gives the same moment in every list, whatever befalls the wall clock.
     """
 
-    def __init__(self, monotonic_ns: int, unix_ns: int) -> None:
-        self.offset = monotonic_ns - unix_ns
+    def __init__(self, offset: int) -> None:
+        """``offset`` is the ns from Unix time to the driver's clock."""
+        self.offset = offset
 
     def moment(self, since_ms: float) -> int:
         """Return the moment on the driver's clock, 0 for long ago."""
@@ -102,6 +104,7 @@
         self.numbers = {name: number for number, name in enumerate(zones)}
         self.calendar = calendar
         self.taken: dict[str, _Taken] = {}  # the one heard of last stands last
+        self.read_ms: float | None = None  # when the last list was read, in Unix ms; none before the first
         self.faults = {what: FaultLog(log, what) for what in (START, WEIGHT, TWICE, ADDRESS)}
 
     def read(self, roster: Roster, unix: float) -> tuple[tuple[api.ServerEntry, ...], dict[str, str]]:
@@ -112,6 +115,7 @@
         wrong: dict[str, dict[str, str]] = {what: {} for what in self.faults}
         named = self._once_each(roster, wrong[TWICE])
         entries = tuple(self._entry(each, unix * 1000, wrong) for each in named.values())
+        self.read_ms = unix * 1000
         for server in list(self.taken)[:len(self.taken) - max(REMEMBERED, len(named))]:
             del self.taken[server]
         for what, faults in self.faults.items():
@@ -167,6 +171,11 @@
             # Guards against a start that goes back and makes a cold server warm. 0 is how a list tells a start that is
             # long ago by now.
             return _Taken(told, before.started, f"since_ms back from {before.told:.0f} to {told:.0f}" if told else "")
+        if self.read_ms is not None and 0 < told < self.read_ms - PLAUSIBLE:
+            # Guards against a clock of this machine that is ahead: the list before did not tell of this start, so it
+            # came later, and a cold server taken for a warm one would get too much.
+            why = f"{(now_ms - told) / 1000:.1f} s old, and not told before"
+            return _Taken(told, self.calendar.moment(self.read_ms), why)
         return _Taken(told, moment, f"{(told - now_ms) / 1000:.1f} s ahead" if told > now_ms + AHEAD else "")
 
 
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -36,6 +36,9 @@
 
     server: str  # the name of the application server that the attempt goes to
 
+    def may_write(self) -> bool:
+        """Tell whether the first line may be written now that the connection is up."""
+
     def written(self) -> None:
         """Hear that the first line's last byte is written: from here on it may have run."""
 
--- a/scaledeal/net/system.py
+++ b/scaledeal/net/system.py
@@ -24,8 +24,8 @@
         return time.monotonic_ns()
 
     def unix(self) -> int:
-        """Return the ns since 1970."""
-        return time.time_ns()
+        """Return the ns since 1970 on the wall clock, which may step: no span may hang on it."""
+        return time.time_ns()  # noqa: TID251 - the one owner of the wall clock
 
     def port(self, clients: bool, port: int, factory: ServerFactory, backlog: int, host: str, reactor: Reactor) -> Port:
         """Return a listening socket, not opened yet: the clients' door, or another."""
--- a/scaledeal/net/trace.py
+++ b/scaledeal/net/trace.py
@@ -86,6 +86,10 @@
         self.put(now, "ask", request=request, id=ask.name, key=ask.key, group=ask.group, cls=ask.request_class,
                  again=ask.returning, server=ask.standing_at)
 
+    def over(self, now: int, request: str, client: str, server: str, why: str) -> None:
+        """Note why a request, or a connection that stood, is over."""
+        self.put(now, "over", request=request, id=client, server=server, why=why)
+
     def late(self, now: int, request: str, server: str, took: int, waits: bool) -> None:
         """Note a message that came later than its class wants it, or that is waited for so long."""
         self.put(now, "late", request=request, server=server, ms=took / MS, why="waits" if waits else "")
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -11,9 +11,10 @@
 
 from scaledeal import interface as api
 from scaledeal.net.delays import Delays
-from scaledeal.net.figures import Figures
+from scaledeal.net.figures import EndCause, Figures
 from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.ports import Timer
+from scaledeal.net.request_guard import RequestGuard
 from scaledeal.net.sides import Agent, Ask, Attempt, Carried
 
 MS = 1_000_000
@@ -37,6 +38,7 @@
 
     draining: bool
     figures: Figures
+    guard: RequestGuard
     delays: Delays
     load_lines: LoadLines
 
@@ -52,6 +54,9 @@
     def forget(self, transaction: Transaction) -> None:
         """Take it off the table."""
 
+    def ended(self, transaction: Transaction, cause: EndCause) -> None:
+        """Hear why it is over: once for each request."""
+
     def overdue(self, transaction: Transaction) -> None:
         """Hear that the decision module left it unanswered."""
 
@@ -71,6 +76,7 @@
         self.ask = ask
         self.agent = agent
         self.state = State.WAITING
+        self.owed = host.guard.open(ask.name or handle, ask.request_class, ask.deadline, bool(ask.standing_at))
         self.attempts = 0
         self.current: Attempt | None = None
         self.server = ""
@@ -88,22 +94,26 @@
         number, self.attempts = self.attempts, self.attempts + 1
         self.server, self.began = server, self.host.now()
         left = self.ask.deadline - self.began
-        if self.state is not State.WAITING or self.current is not None or left <= 0:
-            self._outcome(number, api.Result.NOT_SENT, ())
+        not_sent = self.host.guard.judge_send(self.owed, server)
+        if not_sent is not None:
+            self._outcome(number, not_sent, ())
         elif not address:
             self._outcome(number, api.Result.CONNECT_FAILED, ())
         else:
+            self.host.guard.begun(self.owed, server)
             self.current = self.agent.begin_attempt(address, min(timeout or left, left), self)
 
     def refuse(self, retry_after: int) -> None:
         """Answer: refused."""
-        if self._answered():
+        if self.state is State.WAITING and not self.host.guard.may_refuse(self.owed):
+            self.fail()
+        elif self._answered(EndCause.REFUSED):
             self.counts.throttled += 1
             self.agent.refuse(retry_after)
 
     def fail(self) -> None:
         """Answer: failed."""
-        if self._answered():
+        if self._answered(EndCause.FAILED):
             self.counts.faulted += 1
             self.agent.fail()
 
@@ -112,10 +122,11 @@
         if self.current is not None and number == self.attempts - 1 and self.state is not State.STANDING:
             self.current.give_up()
 
-    def move(self) -> None:
+    def move(self, cause: EndCause = EndCause.MOVED) -> None:
         """End a connection that stands politely."""
         if self.state is State.STANDING and self.current is not None:
             self.state = State.OVER
+            self.host.ended(self, cause)
             self.agent.move()
             self.current.leave(False)
 
@@ -124,13 +135,14 @@
         if self.state is State.STANDING:
             # Guards against servers taken for draining: they did not send away whom this relay moved.
             self.host.post(api.ClientGone(self.handle))
-            self.move()
+            self.move(EndCause.SENT_AWAY)
 
     # Another process of this relay
 
     def resumed(self, server: str) -> None:
         """Stand from the beginning: another process has brought it up."""
         self.state, self.server, self.attempts = State.STANDING, server, 1
+        self.host.guard.answered(self.owed)
         self._stop_timer()
 
     def hand_over(self) -> Carried | None:
@@ -144,6 +156,7 @@
         """Hear that another process has it."""
         if self.state is State.HANDED:
             self.state, self.current = State.OVER, None
+            self.host.ended(self, EndCause.HANDED_OVER)
             self.agent.let_go()
             self.host.post(api.ClientGone(self.handle))  # its server has not sent it away
             self._outcome(self.attempts - 1, api.Result.CANCELLED, ())
@@ -156,6 +169,10 @@
 
     # News of the attempt
 
+    def may_write(self) -> bool:
+        """Tell whether the attempt's first line may be written now."""
+        return self.host.guard.may_write(self.owed)
+
     def written(self) -> None:
         """Hear that the attempt's first line is written whole."""
         self.counts.relayed += 1
@@ -164,6 +181,7 @@
         """Hear that the connection stands."""
         self.counts.fulfilled += 1
         self.state = State.STANDING
+        self.host.guard.answered(self.owed)
         self._stop_timer()
         ask = self.ask
         if ask.standing_at:
@@ -196,6 +214,7 @@
         since = self.current.silent_since() if self.current is not None else 0
         if not since or self.current is None:
             return
+        self.host.guard.silent(self.owed, now - since)
         if now - since > self.aim > 0 and self.told_late != since:
             self.told_late = since
             self.host.late(self, now - since, True)
@@ -216,10 +235,13 @@
     def over(self, result: api.Result, report: tuple[float, ...], broke: bool) -> None:
         """Hear how the attempt ended."""
         self.current = None
+        self.host.guard.ended(self.owed, result)
         stood = self.state is State.STANDING
         if stood or (result is api.Result.OK and self.state is State.WAITING):
             self.counts.fulfilled += not stood  # served to its end at once
             self.state = State.OVER
+            self.host.guard.answered(self.owed)
+            self.host.ended(self, EndCause.SERVER_BROKE if result is api.Result.RESET else EndCause.SERVER_ENDED)
             self._stop_timer()
             self.agent.ended(broke)
         elif self.ask.standing_at and self.state is State.WAITING:
@@ -233,10 +255,13 @@
         """Hear that the client left."""
         if self.state is State.STANDING:
             self.state = State.OVER
+            self.host.ended(self, EndCause.CLIENT_LEFT)
             if self.current is not None:
                 self.current.leave(broke)
         elif self.state is State.WAITING:
             self.state = State.OVER
+            self.host.guard.client_left(self.owed)
+            self.host.ended(self, EndCause.CLIENT_LEFT)
             self._stop_timer()
             if self.ask.standing_at:
                 self.cancel(self.attempts - 1)
@@ -246,6 +271,11 @@
             self.host.post(api.ClientGone(self.handle))
             self._forget_if_over()
 
+    def cut_off(self) -> None:
+        """Hear that this relay itself closed the client's connection, and not by an answer."""
+        if self.state is State.WAITING:
+            self.host.guard.closed(self.owed, by_relay=True)
+
     def sending_ended(self) -> None:
         """Hear that the client ended its sending: before an answer that means that it left."""
         if self.state is State.STANDING and self.current is not None:
@@ -255,11 +285,13 @@
 
     # Inside
 
-    def _answered(self) -> bool:
+    def _answered(self, cause: EndCause) -> bool:
         """Tell whether the final answer may be given now; from here on it counts as given."""
         if self.state is not State.WAITING:
             return False
         self.state = State.OVER
+        self.host.guard.answered(self.owed)
+        self.host.ended(self, cause)
         self._stop_timer()
         if self.current is not None:
             self.current.give_up()
@@ -269,7 +301,7 @@
     def _answer_owed(self) -> None:
         """Answer a request that was held past its time: an answer is owed whatever the module does."""
         self.timer = None
-        if self._answered():
+        if self._answered(EndCause.OVERDUE):
             self.host.overdue(self)
             self.counts.faulted += 1
             self.agent.fail()
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -141,6 +141,8 @@
 
     def link_lost(self, broke: bool) -> None:
         """Hear that the connection is over."""
+        if self.closed_here and self.transaction is not None:
+            self.transaction.cut_off()
         self._leave(broke)
         if self.asked:
             self.reception.admission.has_ended()
--- a/scaledeal/quic/sockets/handover.py
+++ b/scaledeal/quic/sockets/handover.py
@@ -9,7 +9,6 @@
 
 import contextlib
 import os
-import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, cast
 
@@ -25,6 +24,7 @@
 
 from scaledeal.net.config import Address, ConfigError
 from scaledeal.net.handover import Place
+from scaledeal.net.offers import next_offer
 from scaledeal.net.ports import Port
 from scaledeal.quic.core.table import State
 
@@ -136,7 +136,7 @@
             return
         # The port that is in fact taken: a new version is told that one.
         place = self.place = QuicPlace(self.place.folder, Address(self.place.listen.host, self.side.front.number))
-        path = str(place.folder / f"{place.prefix}{time.time_ns():016x}")
+        path = str(next_offer(place.folder, place.prefix))
         try:
             port = cast(Any, unix.Port)(path, _Offer(self), 4, 0o600, self.side.reactor)
             port.startListening()
--- a/scaledeal/quic/sockets/side.py
+++ b/scaledeal/quic/sockets/side.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path as FilePath
@@ -155,7 +154,7 @@
             path.upstream.write(datagram)
             return
         try:
-            self.carry_out(self.router.from_client(self.now(), time.time_ns(), source, datagram))
+            self.carry_out(self.router.from_client(self.now(), self.relay.unix_clock.now(), source, datagram))
         except Exception:  # one stranger's datagram must not end the others' service
             self.count("defect")
             log.exception("a client's datagram could not be taken")
--- a/scaledeal/resume/stores/ledger.py
+++ b/scaledeal/resume/stores/ledger.py
@@ -236,7 +236,7 @@
     try:
         return Ledger(path, name, most), ""
     except LedgerError as error:
-        aside = f"{path.name}.aside-{time.time_ns():016x}"
+        aside = f"{path.name}.aside-{time.time_ns():016x}"  # noqa: TID251 - a name, and no moment
         for suffix in ("", "-wal", "-shm", "-grants"):
             with contextlib.suppress(FileNotFoundError):
                 path.with_name(path.name + suffix).rename(path.with_name(aside + suffix))
--- a/scaledeal/resume/wire/desk.py
+++ b/scaledeal/resume/wire/desk.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import secrets
-import time
 from collections import Counter
 from collections.abc import Callable
 
@@ -27,7 +26,8 @@
 class Desk:
     """What all sessions of this relay share."""
 
-    def __init__(self, owner: Owner, sealer: Sealer, expiry: int, clock: Callable[[], int] = time.time_ns) -> None:
+    def __init__(self, owner: Owner, sealer: Sealer, expiry: int, clock: Callable[[], int]) -> None:
+        """``clock`` returns Unix time in ns, and must not step."""
         self.owner = owner
         self.sealer = sealer
         self.expiry = expiry
--- a/scaledeal/resume/wire/side.py
+++ b/scaledeal/resume/wire/side.py
@@ -47,7 +47,7 @@
             owner = self.ledger
             if why:
                 log.error("the ledger can't be believed: all its sessions begin anew", reason=why)
-        self.desk = Desk(owner, self.sealer, int(resume.expiry))
+        self.desk = Desk(owner, self.sealer, int(resume.expiry), self.relay.unix_clock.now)
         self.relay.door.reception.resume.append(self.desk.come)
 
     def listed(self, event: api.Membership) -> None:
