--- a/scaledeal/__main__.py
+++ b/scaledeal/__main__.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 import sys
+import time
 from collections.abc import Callable
 
 from twisted.python.log import PythonLoggingObserver
@@ -14,6 +15,9 @@
 from scaledeal.net.monotonic_reactor import install
 from scaledeal.net.relay import Relay
 
+READ_TRIES = 40  # tries of a configuration that can't be read now
+READ_PAUSE = 0.05  # seconds between two of them
+
 
 def main(extend: Callable[[Relay], None] | None = None) -> int:
     """Run until told to stop; ``extend`` gives the relay what the platform's own start has not."""
@@ -22,7 +26,7 @@
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: relay.reload()))
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
-        relay = Relay(reactor, config.read())
+        relay = Relay(reactor, _configuration())
         if extend is not None:
             extend(relay)
     except config.ConfigError as error:
@@ -38,6 +42,16 @@
     return _refused(relay.failure) if relay.failure else 0
 
 
+def _configuration() -> config.Config:
+    """Read the configuration; where a moment's shortage keeps it from being read, try again for a while."""
+    for _ in range(READ_TRIES):
+        try:
+            return config.read()
+        except config.ShortageError:
+            time.sleep(READ_PAUSE)
+    return config.read()
+
+
 def _refused(why: str) -> int:
     print(f"scaledeal: {why}".replace("\n", " "), file=sys.stderr)
     return 2
--- a/scaledeal/cli/lab.py
+++ b/scaledeal/cli/lab.py
@@ -12,11 +12,15 @@
 import msgspec
 import typer
 
+from scaledeal.cli.soak import soak
+
 if TYPE_CHECKING:
     from scaledeal.lab.runs import Job, Outcome, Variant
     from scaledeal.lab.runs.store import Store
 
-app = typer.Typer(no_args_is_help=True, help="Play simulated fleets, compare variants, hunt for failures, account.")
+app = typer.Typer(no_args_is_help=True,
+                  help="Play simulated fleets, compare variants, hunt for failures, soak real processes, account.")
+app.command()(soak)
 Host = Annotated[Literal["module", "relay"], typer.Option(
     help="module: the decision module alone; relay: the real network code on simulated sockets.")]
 Results = Annotated[Path, typer.Option("--store", metavar="FILE", help="The results, an SQLite file.")]
--- a/scaledeal/lab/soak/faultshim.c
+++ b/scaledeal/lab/soak/faultshim.c
@@ -10,9 +10,11 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <stdint.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <sys/mman.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
@@ -34,6 +36,8 @@
 __attribute__((constructor)) static void map_control(void)
 {
     const char *path = getenv("SCALEDEAL_FAULTS");
+    if (getenv("SCALEDEAL_DIES_WITH_PARENT") != NULL)
+        prctl(PR_SET_PDEATHSIG, SIGKILL); /* no relay outlives the driver of a soak */
     if (path == NULL)
         return;
     int descriptor = open(path, O_RDWR | O_CLOEXEC);
--- a/scaledeal/net/config.py
+++ b/scaledeal/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 import os
 import re
@@ -13,6 +14,7 @@
 
 from scaledeal import interface as api
 from scaledeal.net.roster import Roster
+from scaledeal.net.socket_errors import SHORTAGES
 from scaledeal.settings import Document
 
 log = logging.getLogger("scaledeal.config")
@@ -24,6 +26,10 @@
     """The relay can't start with what it was told; the text is one plain line."""
 
 
+class ShortageError(ConfigError):
+    """The file could not be read now, for want of descriptors, memory or a sound disk: it may be in a moment."""
+
+
 class Address(msgspec.Struct, frozen=True):
     """A host and a port."""
 
@@ -84,7 +90,8 @@
     try:
         file = msgspec.json.decode(Path(path).read_bytes(), type=_File)
     except OSError as error:
-        raise ConfigError(f"PROXY_CONFIG: {path}: {error.strerror}") from None
+        kind = ShortageError if error.errno in SHORTAGES or error.errno == errno.EIO else ConfigError
+        raise kind(f"PROXY_CONFIG: {path}: {error.strerror}") from None
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ConfigError(f"PROXY_CONFIG: {path}: {error}") from None
     try:
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -29,6 +29,7 @@
 from scaledeal.net.roster import Calendar, Catalog
 from scaledeal.net.service import Service, Stage
 from scaledeal.net.sides import Side
+from scaledeal.net.socket_errors import SHORTAGES
 from scaledeal.net.succession import Succession
 from scaledeal.net.system import System
 from scaledeal.net.trace import open_trace
@@ -43,6 +44,10 @@
 HANDING = 1.0  # seconds after SIGTERM for which connections are handed to a new version before any is moved
 LONGEST_DEADLINE = 3.0  # seconds; SIGKILL follows SIGTERM by the longest deadline, or this, plus 0.7 or more
 LEFT_OVER = 0.1  # seconds after that deadline at which the last standing client is moved
+LISTEN_TRIES = 100  # tries of a socket that a shortage keeps from listening
+LISTEN_PAUSE = 0.03  # seconds between two of them; nothing is served meanwhile
+RELOAD_TRIES = 40  # tries of a new configuration that can't be read for want of descriptors or memory
+RELOAD_PAUSE = 0.05  # seconds between two of them
 LIST_TIME = 4.0  # seconds that a start waits for a list; a successor must serve within 6 s of its start
 LAST_MOMENT = 0.1  # seconds that clients get to take the last answers
 LAST_CALL = 0.45  # seconds after that deadline at which whatever is left is ended
@@ -185,11 +190,16 @@
 
     def _listen(self, clients: bool, at: told.Address, factory: ServerFactory, what: str) -> Port:
         port = self.system.port(clients, at.port, factory, BACKLOG, at.host, self.reactor)
-        try:
-            port.startListening()
-        except CannotListenError as error:
-            # Guards against a trace and an exit code of its own where the address is taken or not ours.
-            raise told.ConfigError(f"{what}: {error}") from None
+        for left in reversed(range(LISTEN_TRIES)):
+            try:
+                port.startListening()
+                break
+            except CannotListenError as error:
+                # Guards against a start that a moment's shortage of descriptors or memory ends for good.
+                if left == 0 or getattr(error.socketError, "errno", None) not in SHORTAGES:
+                    # And against a trace and an exit code of its own where the address is taken or not ours.
+                    raise told.ConfigError(f"{what}: {error}") from None
+                self.system.wait(LISTEN_PAUSE)
         return port
 
     def _give_up(self, why: told.ConfigError) -> None:
@@ -219,14 +229,21 @@
 
     # A new configuration
 
-    def reload(self) -> None:
+    def reload(self, tries: int = RELOAD_TRIES) -> None:
         """Read the file again; a discovery at another address takes over, connections and requests go on."""
         if self.gone:
             return
-        for side in self.sides:
+        for side in self.sides if tries == RELOAD_TRIES else ():
             side.reload()
         try:
             self.config, before = told.read_again(self.config), self.config
+        except told.ShortageError as error:
+            # Guards against a discovery that is left for good, and never heard of, as one call failed.
+            if tries > 0:
+                self.reactor.callLater(RELOAD_PAUSE, self.reload, tries - 1)
+            else:
+                log.warning("configuration not taken, the old one stays in force: %s", error)
+            return
         except told.ConfigError as error:
             # Guards against a half-written file that takes a running relay along.
             log.warning("configuration not taken, the old one stays in force: %s",
--- a/scaledeal/net/request_guard.py
+++ b/scaledeal/net/request_guard.py
@@ -133,7 +133,9 @@
         return self._prevented(Rule.UNSAFE_REFUSAL, owed, f"{owed.may_have_run or owed.out}")
 
     def answered(self, owed: Obligation) -> None:
-        """Hear that the final answer is given."""
+        """Hear that the final answer is given, or that a connection that had it long since is over."""
+        if owed.over:
+            return
         owed.over = True
         late = self.now() - owed.deadline
         if late > ANSWER_LATE:
--- a/scaledeal/net/system.py
+++ b/scaledeal/net/system.py
@@ -27,6 +27,10 @@
         """Return the ns since 1970 on the wall clock, which may step: no span may hang on it."""
         return time.time_ns()  # noqa: TID251 - the one owner of the wall clock
 
+    def wait(self, seconds: float) -> None:
+        """Do nothing for so long: at a start, while nothing is served."""
+        time.sleep(seconds)
+
     def port(self, clients: bool, port: int, factory: ServerFactory, backlog: int, host: str, reactor: Reactor) -> Port:
         """Return a listening socket, not opened yet: the clients' door, or another."""
         kind = cast(Any, Gate if clients else tcp.Port)
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import errno
+import json
+import logging
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, cast
 
 import pytest
+from netfakes import OneRelay
 from test_relay_process import World, ask
 from twisted.internet.protocol import ServerFactory
 
 from scaledeal.lab.soak.shim import Call, FaultControl, ShimUnavailableError, build
+from scaledeal.net import config
 from scaledeal.net.monotonic_reactor import MonotonicReactor
 from scaledeal.net.socket_errors import AcceptErrors, Remedy, is_own_fault
 
@@ -21,8 +25,9 @@
 class FailingWorld(World):
     """A relay under the fault shim."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, at_start: float = 0.0) -> None:
         self.faults = FaultControl(build(folder), folder / "faults", seed=7)
+        self.faults.fail(Call.SOCKET, at_start)
         super().__init__(folder)
 
     def run(self) -> None:
@@ -60,6 +65,45 @@
     assert "Traceback" not in log and "Unhandled" not in log and "invariants: none violated" in log, log
 
 
+def test_a_start_waits_for_the_sockets_that_it_needs(tmp_path: Path) -> None:
+    try:
+        world = FailingWorld(tmp_path, at_start=0.7)
+    except ShimUnavailableError as error:
+        pytest.skip(str(error))
+    try:
+        assert world.port and world.faults.failed(Call.SOCKET) > 2
+    finally:
+        world.end()
+
+
+def test_a_new_configuration_is_read_again_after_a_shortage(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    one = OneRelay(tmp_path)
+    one.path.write_text(json.dumps({**one.written, "discovery": "127.0.0.8:8"}))
+    sound, failures = config._file, [errno.ENFILE, errno.EIO, errno.ENOMEM]
+
+    def failing_file(environment: Any) -> Any:
+        if failures:
+            raise config.ShortageError(f"PROXY_CONFIG: {failures.pop()}")
+        return sound({"PROXY_CONFIG": str(one.path)})
+
+    monkeypatch.setattr(config, "_file", failing_file)
+    with caplog.at_level(logging.INFO):
+        one.relay.reload()
+        one.run(0.3)
+    assert not failures and "discovery is now at 127.0.0.8:8" in caplog.text and "not taken" not in caplog.text
+
+
+def test_a_file_that_can_not_be_read_now_is_told_from_one_that_is_bad(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def read_bytes(path: Path) -> bytes:
+        raise OSError(errno.ENFILE, "too many open files in system")
+
+    monkeypatch.setattr(Path, "read_bytes", read_bytes)
+    with pytest.raises(config.ShortageError, match="too many"):
+        config.read({"PROXY_CONFIG": "c.json"})
+
+
 @pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
 def test_a_shortage_leaves_connections_in_the_queue(number: int) -> None:
     assert AcceptErrors().remedy(number) is Remedy.SOON and is_own_fault(number)
