Outlive a moment's want of memory in reads, writes and epoll, and a signal at any time

SIGTERM and SIGINT are held from the first moment on, in place of Twisted's handlers, which end the program at once if they come before the relay's own.

--- a/scaledeal/__main__.py
+++ b/scaledeal/__main__.py
@@ -22,8 +22,10 @@
 def main(extend: Callable[[Relay], None] | None = None) -> int:
     """Run until told to stop; ``extend`` gives the relay what the platform's own start has not."""
     reactor = install()
-    # Guards against a SIGHUP that ends the program: it waits here until the reactor runs and a relay stands.
+    # Guards against a signal that ends the program before its relay stands: it waits here until the reactor runs.
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(lambda: relay.reload()))
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(lambda: relay.drain()))
+    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(reactor.stop))
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     try:
         relay = Relay(reactor, _configuration())
@@ -34,11 +36,9 @@
     PythonLoggingObserver("scaledeal.twisted").start()
     logging.getLogger("scaledeal.twisted").setLevel(logging.WARNING)
     relay.start()
-    # Twisted takes SIGTERM when it starts to run; from then on it means: move your clients, then go.
-    reactor.callWhenRunning(signal.signal, signal.SIGTERM, lambda *_: reactor.callFromThread(relay.drain))
     gc.collect()
     gc.freeze()
-    reactor.run()
+    reactor.run(installSignalHandlers=False)  # Twisted's own SIGTERM would end the program at once
     return _refused(relay.failure) if relay.failure else 0
 
 
--- a/scaledeal/lab/soak/faults.py
+++ b/scaledeal/lab/soak/faults.py
@@ -11,7 +11,8 @@
 from scaledeal.lab.soak.shim import Call
 
 STEPS = 3  # steps of one wall clock in a row
-FAILING = (Call.ACCEPT, Call.SOCKET, Call.CONNECT, Call.RECV, Call.SEND, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND)
+FAILING = (Call.ACCEPT, Call.SOCKET, Call.CONNECT, Call.RECV, Call.SEND, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND,
+           Call.POLL_CHANGE, Call.OPTION)
 DRAINS = 2.0  # seconds from a server's draining to its end
 
 
--- a/scaledeal/lab/soak/faultshim.c
+++ b/scaledeal/lab/soak/faultshim.c
@@ -22,7 +22,7 @@
 #include <unistd.h>
 
 enum call { CALL_ACCEPT, CALL_SOCKET, CALL_CONNECT, CALL_RECV, CALL_SEND, CALL_WAIT, CALL_SHORT_RECV, CALL_SHORT_SEND,
-            CALL_WRITE, CALL_SYNC, CALLS };
+            CALL_WRITE, CALL_SYNC, CALL_POLL_CHANGE, CALL_OPTION, CALLS };
 
 struct control {
     int64_t wall_step_ns;      /* added to what the wall clock tells */
@@ -137,7 +137,7 @@
 
 ssize_t recv(int descriptor, void *buffer, size_t size, int flags)
 {
-    static const int errors[] = {EINTR, EAGAIN};
+    static const int errors[] = {EINTR, EAGAIN, ENOMEM};
     NEXT(recv);
     if (fails(CALL_RECV))
         return ONE_OF(errors);
@@ -147,7 +147,7 @@
 
 ssize_t send(int descriptor, const void *buffer, size_t size, int flags)
 {
-    static const int errors[] = {EINTR, EAGAIN, ENOBUFS};
+    static const int errors[] = {EINTR, EAGAIN, ENOBUFS, ENOMEM};
     NEXT(send);
     if (fails(CALL_SEND))
         return ONE_OF(errors);
@@ -164,6 +164,21 @@
     return next(descriptor, events, most, timeout);
 }
 
+int epoll_ctl(int descriptor, int operation, int target, struct epoll_event *event)
+{
+    static const int errors[] = {ENOMEM, ENOSPC};
+    NEXT(epoll_ctl);
+    return operation != EPOLL_CTL_DEL && fails(CALL_POLL_CHANGE) ? ONE_OF(errors)
+                                                                 : next(descriptor, operation, target, event);
+}
+
+int setsockopt(int descriptor, int level, int name, const void *value, socklen_t length)
+{
+    static const int errors[] = {ENOMEM, ENOBUFS};
+    NEXT(setsockopt);
+    return level != SOL_SOCKET && fails(CALL_OPTION) ? ONE_OF(errors) : next(descriptor, level, name, value, length);
+}
+
 static int on_disk(int descriptor)
 {
     struct stat about;
--- a/scaledeal/lab/soak/fleet.py
+++ b/scaledeal/lab/soak/fleet.py
@@ -24,6 +24,7 @@
 PROGRAM = (sys.executable, "-m", "scaledeal")
 DESCRIPTORS = 1024
 FRONT_STOPS = 0.2, 0.4  # seconds after SIGTERM for which the front still sends clients
+SERIES = 0.5  # share of ends in which more signals follow the first
 FRONT_NOTICES = 1.5  # seconds after a crash in which the front notices
 AFTER_DEADLINE = 0.7  # seconds from the longest deadline after SIGTERM to SIGKILL
 STARTS_ANEW = 0.3  # seconds from the end of a process to the start of the next
@@ -120,8 +121,13 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send its process a signal."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+        if self.process is not None:
+            self.send_to(self.process, number)
+
+    def send_to(self, process: asyncio.subprocess.Process, number: signal.Signals) -> None:
+        """Send one of its processes a signal, if that still runs."""
+        if process.returncode is None:
+            process.send_signal(number)
 
 
 class Fleet:
@@ -231,6 +237,9 @@
             return
         relay.told = time.monotonic()
         relay.send(signal.SIGTERM)
+        if self.random.random() < SERIES:
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                asyncio.get_running_loop().call_later(self.random.uniform(0.0, 1.5), relay.send_to, process, number)
         asyncio.get_running_loop().call_later(self.random.uniform(*FRONT_STOPS), self._out_of_service, relay)
         try:
             await asyncio.wait_for(process.wait(), self.plan.longest_deadline + AFTER_DEADLINE)
--- a/scaledeal/lab/soak/proxy.py
+++ b/scaledeal/lab/soak/proxy.py
@@ -18,6 +18,7 @@
 PIECE = 7  # bytes at once where bytes come in pieces
 GAP = 0.002  # seconds between two pieces
 BACKLOG = 1
+ESTABLISHED = 1  # of the states that TCP_INFO tells
 PROBES = (b"PING", b"STATS")
 
 Now = Callable[[], float]
@@ -90,6 +91,10 @@
         loop = asyncio.get_running_loop()
         while True:
             sock, _ = await loop.sock_accept(self.listener)
+            if sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != ESTABLISHED:
+                # Given up while it waited in the queue: what it had sent is still read, and would count as sent now.
+                sock.close()
+                continue
             passage = Passage(self)
             self.passages.add(passage)
             await loop.connect_accepted_socket(lambda made=passage: made.relay_side, sock)  # type: ignore[misc]
--- a/scaledeal/lab/soak/shim.py
+++ b/scaledeal/lab/soak/shim.py
@@ -35,6 +35,8 @@
     SHORT_SEND = 7
     WRITE = 8
     SYNC = 9
+    POLL_CHANGE = 10
+    OPTION = 11
 
 
 _FAILED_AT = _RATES_AT + _RATE.size * len(Call)
--- a/scaledeal/net/discovery_watch.py
+++ b/scaledeal/net/discovery_watch.py
@@ -165,7 +165,7 @@
         else:
             broke = failure.check(NoListError, TooLongError) is None and not self.header.too_long
             took = 0.0 if self.waits else self.unix() - self.began
-            why = TOO_LONG if self.header.too_long else failure.getErrorMessage() or repr(failure.value)
+            why = TOO_LONG if self.header.too_long else _reason(failure)
             self._again(why, self.times.pause(took, broke))
             if broke:
                 self.tell(api.Membership(api.MembershipKind.LOST), {})
@@ -197,5 +197,17 @@
         self.timer = self.reactor.callLater(pause, self._call, 0.0)
 
 
+def _reason(failure: Failure) -> str:
+    """Return why a call failed in one line: Twisted wraps the cause in failures, which print as tracebacks."""
+    value: Any = failure.value
+    while True:
+        causes = (*getattr(value, "reasons", ()), *value.args)
+        inner = next((cause for cause in causes if isinstance(cause, Failure)), None)
+        if inner is None:
+            break
+        value = inner.value
+    return " ".join(str(value).split()) or repr(value)
+
+
 def _refused(code: int) -> bytes:
     raise (BusyError if code == BUSY else NoListError)(f"discovery answered {code}")
--- a/scaledeal/net/gate.py
+++ b/scaledeal/net/gate.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from scaledeal.net.admission import CLOSING
+from scaledeal.net.patient_sockets import PatientServer
 from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.socket_errors import AcceptErrors, Remedy
 from scaledeal.net.user_agent import Reception, UserAgent
@@ -48,6 +49,7 @@
 
     # Guards against a queue that ends for the process it was handed to, too.
     _shouldShutdown = False  # noqa: N815
+    transport = PatientServer
     _took = False  # whether connections were taken here up to the end
 
     def __init__(self, *args: Any, **more: Any) -> None:
--- a/scaledeal/net/ports.py
+++ b/scaledeal/net/ports.py
@@ -117,7 +117,7 @@
     def callFromThread(self, call: Callable[..., object]) -> object:  # noqa: N802
         """Call from the reactor's loop; a signal handler may ask for it."""
 
-    def run(self) -> None:
+    def run(self, installSignalHandlers: bool = True) -> None:  # noqa: N803
         """Run until stopped."""
 
     def stop(self) -> None:
--- a/scaledeal/net/socket_errors.py
+++ b/scaledeal/net/socket_errors.py
@@ -58,6 +58,11 @@
         return known or Remedy.AT_ONCE
 
 
+def may_be_tried_again(number: int | None) -> bool:
+    """Tell whether a read or write that failed with this errno leaves the connection as it was."""
+    return number in SHORTAGES or number in (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
+
+
 def is_own_fault(number: int | None) -> bool:
     """Tell whether a connect failed with this errno for want of something here, which says nothing of the server."""
     return number in OWN_CONNECT_ERRORS
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -8,9 +8,10 @@
 
 import pytest
 from twisted.internet.defer import Deferred, succeed
+from twisted.internet.error import ConnectError, ConnectionDone
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
-from twisted.web.client import ResponseDone
+from twisted.web.client import ResponseDone, ResponseNeverReceived
 
 from scaledeal import interface as api
 from scaledeal.net import discovery_watch
@@ -374,3 +375,11 @@
     agent = WatchTimes(True, 0.0, 0.0, 0.0)
     assert agent.patience(0.0) > 0.05 and agent.pause(0.0) > 0.02
     assert max(WatchTimes(False, 600.0, 90.0, place / 9).wait(7.0) for place in range(9)) <= 60.0
+
+
+def test_the_reason_of_a_failed_call_is_one_line_however_it_is_wrapped(caplog: pytest.LogCaptureFixture) -> None:
+    # Guards against a log line with the traceback of an ordinary broken connection in it.
+    inner = Failure(ConnectionDone("closed\ncleanly"))
+    for wrapped in (inner, Failure(ConnectError(string=inner)), Failure(ResponseNeverReceived([inner]))):
+        told = discovery_watch._reason(wrapped)
+        assert "closed cleanly" in told and "Failure" not in told and "\n" not in told
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -85,6 +85,7 @@
     (Rule.STUCK, lambda h: h.stuck.append(Stuck("n0", 1, 12.0, 3.4))),
     (Rule.CRASH, lambda h: h.endings.__setitem__(0, Ending("n0", 1, None, None, 1))),
     (Rule.CRASH, lambda h: h.endings.__setitem__(0, Ending("n0", 1, 60.0, None, 1))),
+    (Rule.CRASH, lambda h: h.endings.__setitem__(0, Ending("n0", 1, 60.0, None, -15))),
     (Rule.NOT_READY, lambda h: h.slow_starts.append(("n0", 11.0))),
     (Rule.LOG, lambda h: h.logs["n0"].append("ERROR scaledeal: Unhandled Error")),
     (Rule.LOG, lambda h: h.logs["n0"].append("INFO invariants: 1 late_answer violated")),
