--- a/scaledeal/net/trace.py
+++ b/scaledeal/net/trace.py
@@ -151,7 +151,13 @@
 def open_trace(where: str, relay: str, ahead: int) -> Trace:
     """Return a trace that appends to a file, or that writes to standard error; raise OSError if it can't."""
     if where == "-":
-        return Trace(relay, lambda line: os.write(2, MARK + line), ahead)
+        return Trace(relay, lambda line: _write_whole(2, MARK + line), ahead)
     # Guards against lines that a killed relay takes along: each is handed to the system as it is written.
     file = os.open(where, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
-    return Trace(relay, lambda line: os.write(file, line), ahead)
+    return Trace(relay, lambda line: _write_whole(file, line), ahead)
+
+
+def _write_whole(descriptor: int, data: bytes) -> None:
+    """Write all of it: the system may take less at once."""
+    while data:
+        data = data[os.write(descriptor, data):]
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -11,10 +11,11 @@
 
 import pytest
 from netfakes import OneRelay
-from test_relay_process import World, ask
+from shimmed import ShimmedWorld, shimmed
+from test_relay_process import ask
 from twisted.internet.protocol import ServerFactory
 
-from scaledeal.lab.soak.shim import Call, FaultControl, ShimUnavailableError, build
+from scaledeal.lab.soak.shim import Call
 from scaledeal.net import config
 from scaledeal.net.monotonic_reactor import MonotonicReactor
 from scaledeal.net.socket_errors import AcceptErrors, Remedy, is_own_fault
@@ -22,32 +23,15 @@
 FAILING = 0.4  # share of calls
 
 
-class FailingWorld(World):
-    """A relay under the fault shim."""
-
-    def __init__(self, folder: Path, at_start: float = 0.0) -> None:
-        self.faults = FaultControl(build(folder), folder / "faults", seed=7)
-        self.faults.fail(Call.SOCKET, at_start)
-        super().__init__(folder)
-
-    def run(self) -> None:
-        self.env |= self.faults.environment()
-        super().run()
-
-
 @pytest.fixture()
-def failing(tmp_path: Path) -> Iterator[FailingWorld]:
-    try:
-        world = FailingWorld(tmp_path)
-    except ShimUnavailableError as error:
-        pytest.skip(str(error))
-    yield world
-    world.end()
+def failing(tmp_path: Path) -> Iterator[ShimmedWorld]:
+    with shimmed(tmp_path) as world:
+        yield world
 
 
 @pytest.mark.parametrize("call", [Call.ACCEPT, Call.RECV, Call.SEND, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND,
                                   Call.POLL_CHANGE, Call.OPTION])
-def test_every_request_is_answered_while_a_call_fails(failing: FailingWorld, call: Call) -> None:
+def test_every_request_is_answered_while_a_call_fails(failing: ShimmedWorld, call: Call) -> None:
     failing.faults.fail(call, FAILING)
     for number in range(1, 41):
         client = failing.client(ask(number))
@@ -67,14 +51,8 @@
 
 
 def test_a_start_waits_for_the_sockets_that_it_needs(tmp_path: Path) -> None:
-    try:
-        world = FailingWorld(tmp_path, at_start=0.7)
-    except ShimUnavailableError as error:
-        pytest.skip(str(error))
-    try:
+    with shimmed(tmp_path, sockets_fail=0.7) as world:
         assert world.port and world.faults.failed(Call.SOCKET) > 2
-    finally:
-        world.end()
 
 
 def test_a_new_configuration_is_read_again_after_a_shortage(
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -8,9 +8,8 @@
 from pathlib import Path
 
 import pytest
-from test_relay_process import World, ask
-
-from scaledeal.lab.soak.shim import FaultControl, ShimUnavailableError, build
+from shimmed import ShimmedWorld, shimmed
+from test_relay_process import ask
 
 HOUR = 3600.0
 SILENT = 7.0  # seconds after which a connection that returns nothing has to be over
@@ -19,29 +18,13 @@
 LATE = 0.5  # seconds after its deadline at which a request without its answer is lost
 
 
-class SteppedWorld(World):
-    """A relay under the fault shim."""
-
-    def __init__(self, folder: Path, servers: int = 1) -> None:
-        self.faults = FaultControl(build(folder), folder / "faults")
-        super().__init__(folder, servers=servers)
-
-    def run(self) -> None:
-        self.env |= self.faults.environment()
-        super().run()
-
-
 @pytest.fixture()
-def stepped(tmp_path: Path) -> Iterator[SteppedWorld]:
-    try:
-        world = SteppedWorld(tmp_path)
-    except ShimUnavailableError as error:
-        pytest.skip(str(error))
-    yield world
-    world.end()
+def stepped(tmp_path: Path) -> Iterator[ShimmedWorld]:
+    with shimmed(tmp_path) as world:
+        yield world
 
 
-def test_a_silent_connection_is_broken_off_in_time_after_a_step_back(stepped: SteppedWorld) -> None:
+def test_a_silent_connection_is_broken_off_in_time_after_a_step_back(stepped: ShimmedWorld) -> None:
     client, server = stepped.stand()
     client.send("M 1")
     assert server.read() == "M 1"
@@ -50,7 +33,7 @@
     assert client.read() == "MOVE" and client.ended() and time.monotonic() - asked < SILENT
 
 
-def test_a_deadline_is_kept_after_a_step_back(stepped: SteppedWorld) -> None:
+def test_a_deadline_is_kept_after_a_step_back(stepped: ShimmedWorld) -> None:
     client = stepped.client(ask(wait=1500))
     asked = time.monotonic()
     server, _ = stepped.servers[0].asked()  # hangs
@@ -59,7 +42,7 @@
     server.close()
 
 
-def test_no_attempt_ends_early_after_a_step_forward(stepped: SteppedWorld) -> None:
+def test_no_attempt_ends_early_after_a_step_forward(stepped: ShimmedWorld) -> None:
     client = stepped.client(ask(wait=3000))
     server, _ = stepped.servers[0].asked()
     stepped.faults.step_wall_clock(HOUR)
@@ -69,7 +52,7 @@
 
 
 @pytest.mark.parametrize("step", [-HOUR, HOUR])
-def test_an_end_takes_its_real_time_and_no_more_after_a_step(stepped: SteppedWorld, step: float) -> None:
+def test_an_end_takes_its_real_time_and_no_more_after_a_step(stepped: ShimmedWorld, step: float) -> None:
     client, server = stepped.stand()
     stepped.process.send_signal(signal.SIGTERM)
     told = time.monotonic()
@@ -86,7 +69,7 @@
 
 
 @pytest.mark.parametrize("step", [-HOUR, HOUR])
-def test_a_watch_that_falls_silent_is_opened_anew_in_time_after_a_step(stepped: SteppedWorld, step: float) -> None:
+def test_a_watch_that_falls_silent_is_opened_anew_in_time_after_a_step(stepped: ShimmedWorld, step: float) -> None:
     silent, since = stepped.watch, time.monotonic()
     stepped.faults.step_wall_clock(step)
     anew, query = stepped.next_watch(stepped.discovery.accept())
