--- a/scaledeal/cli/soak.py
+++ b/scaledeal/cli/soak.py
@@ -33,6 +33,7 @@
     """
     from scaledeal.lab.soak.run import Result
     from scaledeal.lab.soak.shim import ShimUnavailableError
+
     try:
         where = folder or Path(tempfile.mkdtemp(prefix="scaledeal-soak-"))
         where.mkdir(parents=True, exist_ok=True)
@@ -41,8 +42,10 @@
     typer.echo(f"records in {where}", err=True)
     results, failed = list[Result](), list[int]()
     with ProcessPoolExecutor(at_once, mp_context=get_context("spawn")) as pool:
-        jobs = {pool.submit(_play, number, seconds, processes, where / str(number)): number
-                for number in range(seed, seed + seeds)}
+        jobs = {
+            pool.submit(_play, number, seconds, processes, where / str(number)): number
+            for number in range(seed, seed + seeds)
+        }
         for job in as_completed(jobs):
             try:
                 results.append(job.result())
@@ -62,6 +65,7 @@
 def _play(seed: int, seconds: float, processes: int, folder: Path) -> Result:
     from scaledeal.lab.soak.plan import draw
     from scaledeal.lab.soak.run import run
+
     return run(draw(seed, seconds, processes), folder)
 
 
@@ -80,8 +84,11 @@
     broken = sorted(result.seed for result in results if result.violations and not result.void)
     void = sorted(result.seed for result in results if result.void)
     requests = sum(result.requests for result in results)
-    print(f"{len(results)} seeds, {requests} requests: {len(results) - len(broken) - len(void)} held, "
-          f"{len(broken)} broken {broken or ''}, {len(void)} void {void or ''}".replace("  ", " "), file=sys.stderr)
+    print(
+        f"{len(results)} seeds, {requests} requests: {len(results) - len(broken) - len(void)} held, "
+        f"{len(broken)} broken {broken or ''}, {len(void)} void {void or ''}".replace("  ", " "),
+        file=sys.stderr,
+    )
     if broken or void:
         raise typer.Exit(1 if broken else 3)
 
--- a/scaledeal/lab/soak/client.py
+++ b/scaledeal/lab/soak/client.py
@@ -20,7 +20,7 @@
 BAD = (b"NONSENSE", b"OPEN half", b"OPEN a b c=none,d=9", b"\xff\xfe")
 
 
-class Manner(Enum):
+class ClientBehavior(Enum):
     """How a client behaves."""
 
     STAYS = "stays"  # uses its connection until the relay ends it
@@ -32,7 +32,7 @@
     RESTS = "rests"  # connects, and asks late
 
 
-class Place(msgspec.Struct, frozen=True):
+class Target(msgspec.Struct, frozen=True):
     """Where the front sends a client."""
 
     relay: str
@@ -43,7 +43,7 @@
 class Front(Protocol):
     """Distributes clients."""
 
-    def place(self) -> Place | None:
+    def target(self) -> Target | None:
         """Return where the next client goes; none while no relay is in service."""
 
     def now(self) -> float:
@@ -52,16 +52,23 @@
     def record(self, request: Request) -> None:
         """Take a new request into the history."""
 
-    def stuck(self, place: Place, seconds: float) -> None:
+    def client_stalled(self, target: Target, seconds: float) -> None:
         """Hear of a client that stopped in mid-request and was neither answered nor closed for so long."""
 
 
 class Client:
     """One client, until its connection is over."""
 
-    def __init__(self, front: Front, random: Random, request_class: str, wait: float, manner: Manner,
-                 again: bool = False) -> None:
-        self.front, self.random, self.manner = front, random, manner
+    def __init__(
+        self,
+        front: Front,
+        random: Random,
+        request_class: str,
+        wait: float,
+        behavior: ClientBehavior,
+        again: bool = False,
+    ) -> None:
+        self.front, self.random, self.behavior = front, random, behavior
         self.request_class, self.wait, self.again = request_class, wait, again
         self.request: Request | None = None
         self.reader: asyncio.StreamReader
@@ -69,34 +76,35 @@
 
     async def run(self) -> str:
         """Connect, ask, use the connection; return the last word that came back."""
-        place = self.front.place()
-        if place is None:
+        target = self.front.target()
+        if target is None:
             return ""
         try:
-            self.reader, self.writer = await asyncio.open_connection("127.0.0.1", place.port)
+            self.reader, self.writer = await asyncio.open_connection("127.0.0.1", target.port)
         except OSError:
             return ""
         with suppress(OSError):
             self.writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
-            return await self._talk(place)
+            return await self._talk(target)
         finally:
             self._note_closed(ClosedBy.CLIENT)
             self.writer.transport.abort()
 
-    async def _talk(self, place: Place) -> str:
-        if self.manner is Manner.BAD:
-            return await self._say_nonsense(place)
+    async def _talk(self, target: Target) -> str:
+        if self.behavior is ClientBehavior.BAD:
+            return await self._say_nonsense(target)
         name = f"{self.random.getrandbits(64):016x}"
         more = ",again=1" if self.again else ""
         group = self.random.randrange(40)
-        line = (f"OPEN {name} {group:04x} c={self.request_class},d={int(self.wait * 1000)},g=g{group},h=1000"
-                f"{more}").encode() + END
-        if self.manner is Manner.STOPS:
-            return await self._stop_half(place, line)
-        if self.manner is Manner.RESTS:
+        line = (
+            f"OPEN {name} {group:04x} c={self.request_class},d={int(self.wait * 1000)},g=g{group},h=1000{more}"
+        ).encode() + END
+        if self.behavior is ClientBehavior.STOPS:
+            return await self._stop_half(target, line)
+        if self.behavior is ClientBehavior.RESTS:
             await asyncio.sleep(self.random.uniform(0.2, 2.0))
-        request = self.request = Request(name, self.request_class, place.relay, place.incarnation, self.wait)
+        request = self.request = Request(name, self.request_class, target.relay, target.incarnation, self.wait)
         if not await self._write_first(line):
             return ""
         self.front.record(request)
@@ -107,10 +115,10 @@
         return answer
 
     async def _write_first(self, line: bytes) -> bool:
-        size = len(line) if self.manner is not Manner.SLOW else 9
+        size = len(line) if self.behavior is not ClientBehavior.SLOW else 9
         try:
             for start in range(0, len(line), size):
-                self.writer.write(line[start:start + size])
+                self.writer.write(line[start : start + size])
                 await self.writer.drain()
                 if size < len(line):
                     await asyncio.sleep(0.05)
@@ -119,13 +127,14 @@
         return not self.writer.is_closing()
 
     async def _first_answer(self, request: Request) -> str:
-        waits = self.random.uniform(0.0, self.wait) if self.manner is Manner.LEAVES else WATCHED
+        waits = self.random.uniform(0.0, self.wait) if self.behavior is ClientBehavior.LEAVES else WATCHED
         line = await self._line(waits)
         if line is None:
             self._note_closed(ClosedBy.CLIENT)  # it leaves, rudely or not
             if self.random.random() < 0.5 and not self.writer.is_closing():
                 self.writer.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
             self.writer.transport.abort()
             return ""
         if line:
@@ -136,7 +145,7 @@
         return request.answer.partition(" ")[0]
 
     async def _use(self, request: Request) -> str:
-        left = self.random.randint(1, 6) if self.manner is not Manner.STAYS else 1 << 30
+        left = self.random.randint(1, 6) if self.behavior is not ClientBehavior.STAYS else 1 << 30
         number = 0
         while left > 0:
             number, left = number + 1, left - 1
@@ -168,23 +177,22 @@
         except OSError:
             return b""
 
-    async def _say_nonsense(self, place: Place) -> str:
+    async def _say_nonsense(self, target: Target) -> str:
         self.writer.write(self.random.choice(BAD) + END)
-        await self._owed_an_end(place)
+        await self._owed_an_end(target)
         return ""
 
-    async def _stop_half(self, place: Place, line: bytes) -> str:
-        self.writer.write(line[:self.random.randrange(1, len(line) - 2)])
-        await self._owed_an_end(place)
+    async def _stop_half(self, target: Target, line: bytes) -> str:
+        self.writer.write(line[: self.random.randrange(1, len(line) - 2)])
+        await self._owed_an_end(target)
         return ""
 
-    async def _owed_an_end(self, place: Place) -> None:
+    async def _owed_an_end(self, target: Target) -> None:
         began = self.front.now()
         if await self._line(WATCHED) is None:
-            self.front.stuck(place, self.front.now() - began)
+            self.front.client_stalled(target, self.front.now() - began)
 
     def _note_closed(self, by: ClosedBy) -> None:
         request = self.request
         if request is not None and request.closed is None:
             request.closed, request.closed_by = self.front.now(), by
-
--- a/scaledeal/lab/soak/discovery.py
+++ b/scaledeal/lab/soak/discovery.py
@@ -19,7 +19,7 @@
 SLOW = 0.8  # seconds that an answer takes where discovery is slow
 
 
-class Listed(msgspec.Struct):
+class ListedServer(msgspec.Struct):
     """One server as it is listed; its address depends on who asks."""
 
     name: str
@@ -36,29 +36,30 @@
     def __init__(self, now: Callable[[], float], record: Callable[[StateChange], None]) -> None:
         self.now, self.record = now, record
         self.index = 1
-        self.servers: dict[str, Listed] = {}
+        self.servers: dict[str, ListedServer] = {}
         self.waiting: set[asyncio.Event] = set()
 
     def change(self, name: str, zone: str, cell: int, status: str, since: float) -> None:
         """List a server, or change what is listed of it."""
         self.index += 1
-        self.servers[name] = Listed(name, zone, cell, status, since, self.index)
+        self.servers[name] = ListedServer(name, zone, cell, status, since, self.index)
         self.record(StateChange(name, status, self.now(), self.index, since))
         for event in self.waiting:
             event.set()
 
-    def news(self, after: int | None) -> list[Listed]:
+    def news(self, after: int | None) -> list[ListedServer]:
         """Return what has changed since a version, or the whole list."""
         if after is None:
             return [each for each in self.servers.values() if each.status != "left"]
         return [each for each in self.servers.values() if each.index > after]
 
 
-class Door:
+class DiscoveryEndpoint:
     """One relay's way to discovery: a port, and what is wrong with it."""
 
-    def __init__(self, relay: str, catalog: Catalog, address_of: Callable[[str, str], str],
-                 record: Callable[[ListWritten], None]) -> None:
+    def __init__(
+        self, relay: str, catalog: Catalog, address_of: Callable[[str, str], str], record: Callable[[ListWritten], None]
+    ) -> None:
         """``address_of`` returns where a relay finds a server; ``record`` hears of each list that is written."""
         self.relay, self.catalog = relay, catalog
         self.address_of, self.record = address_of, record
@@ -113,10 +114,23 @@
         return self._document(None)
 
     def _document(self, after: int | None) -> dict[str, Any]:
-        return {"index": self.catalog.index, "snapshot": after is None, "endpoints": [
-            {"name": each.name, "address": self.address_of(self.relay, each.name), "zone": each.zone, "type": "m",
-             "group": each.cell, "status": each.status, "weight": 1.0, "since_ms": int(each.since * 1000)}
-            for each in self.catalog.news(after)]}
+        return {
+            "index": self.catalog.index,
+            "snapshot": after is None,
+            "endpoints": [
+                {
+                    "name": each.name,
+                    "address": self.address_of(self.relay, each.name),
+                    "zone": each.zone,
+                    "type": "m",
+                    "group": each.cell,
+                    "status": each.status,
+                    "weight": 1.0,
+                    "since_ms": int(each.since * 1000),
+                }
+                for each in self.catalog.news(after)
+            ],
+        }
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
@@ -153,7 +167,7 @@
         answer = (b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(body)) + body
         size = -(-len(answer) // PIECES)
         for start in range(0, len(answer), size):
-            writer.write(answer[start:start + size])
+            writer.write(answer[start : start + size])
             await writer.drain()
         self.record(ListWritten(self.relay, self.incarnation, self.catalog.now(), index))
 
--- a/scaledeal/lab/soak/faults.py
+++ b/scaledeal/lab/soak/faults.py
@@ -7,12 +7,22 @@
 from collections.abc import Awaitable, Callable
 
 from scaledeal.lab.soak.fleet import Fleet, Server
-from scaledeal.lab.soak.plan import Event, Fault, Habit
+from scaledeal.lab.soak.plan import Event, Fault, ServerBehavior
 from scaledeal.lab.soak.shim import Call
 
 STEPS = 3  # steps of one wall clock in a row
-FAILING = (Call.ACCEPT, Call.SOCKET, Call.CONNECT, Call.RECV, Call.SEND, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND,
-           Call.POLL_CHANGE, Call.OPTION)
+FAILING = (
+    Call.ACCEPT,
+    Call.SOCKET,
+    Call.CONNECT,
+    Call.RECV,
+    Call.SEND,
+    Call.WAIT,
+    Call.SHORT_RECV,
+    Call.SHORT_SEND,
+    Call.POLL_CHANGE,
+    Call.OPTION,
+)
 DRAINS = 2.0  # seconds from a server's draining to its end
 
 
@@ -24,12 +34,24 @@
         self.fleet, self.crowd = fleet, crowd
         self.replaced = 0  # servers started in place of others
         self._do: dict[Fault, Callable[[Event], Awaitable[None]]] = {
-            Fault.WALL_STEP: self._wall_step, Fault.TERMINATE: self._terminate, Fault.KILL: self._kill,
-            Fault.PAUSE: self._pause, Fault.CALLS: self._calls, Fault.RELOAD: self._reload, Fault.HANG: self._hang,
-            Fault.CRASH: self._crash, Fault.DRAIN: self._drain, Fault.HABIT: self._habit, Fault.CUT: self._cut,
-            Fault.RESET: self._reset, Fault.LATE: self._late, Fault.PIECES: self._pieces,
-            Fault.DISCOVERY_DOWN: self._discovery_down, Fault.DISCOVERY_SILENT: self._discovery_silent,
-            Fault.DISCOVERY_SLOW: self._discovery_slow, Fault.CROWD: self._crowd,
+            Fault.WALL_STEP: self._wall_step,
+            Fault.TERMINATE: self._terminate,
+            Fault.KILL: self._kill,
+            Fault.PAUSE: self._pause,
+            Fault.CALLS: self._calls,
+            Fault.RELOAD: self._reload,
+            Fault.HANG: self._hang,
+            Fault.CRASH: self._crash,
+            Fault.DRAIN: self._drain,
+            Fault.BAD_SERVER: self._bad_server,
+            Fault.CUT: self._cut,
+            Fault.RESET: self._reset,
+            Fault.LATE: self._late,
+            Fault.PIECES: self._pieces,
+            Fault.DISCOVERY_DOWN: self._discovery_down,
+            Fault.DISCOVERY_SILENT: self._discovery_silent,
+            Fault.DISCOVERY_SLOW: self._discovery_slow,
+            Fault.CROWD: self._crowd,
         }
 
     async def play(self, event: Event) -> None:
@@ -71,7 +93,7 @@
 
     async def _reload(self, event: Event) -> None:
         relay = self.fleet.relays[event.relays[0]]
-        await relay.door.move()
+        await relay.discovery.move()
         relay.write_config()
         relay.send(signal.SIGHUP)
 
@@ -102,12 +124,12 @@
             self.fleet.list_server(server, "left")
             await self._down(server)
 
-    async def _habit(self, event: Event) -> None:
+    async def _bad_server(self, event: Event) -> None:
         for server in self._servers(event):
-            server.behave(event.habit)
+            server.behave(event.behavior)
         await asyncio.sleep(event.lasts)
         for server in self._servers(event):
-            server.behave(Habit.SOUND)
+            server.behave(ServerBehavior.SOUND)
 
     async def _cut(self, event: Event) -> None:
         links = self.fleet.links(event.relays, event.servers)
@@ -139,23 +161,23 @@
             link.pieces = False
 
     async def _discovery_down(self, event: Event) -> None:
-        doors = [relay.door for relay in self.fleet.relays]
-        for door in doors:
-            door.down()
+        endpoints = [relay.discovery for relay in self.fleet.relays]
+        for discovery in endpoints:
+            discovery.down()
         await asyncio.sleep(event.lasts)
-        for door in doors:
-            door.up()
+        for discovery in endpoints:
+            discovery.up()
 
     async def _discovery_silent(self, event: Event) -> None:
         for relay in self.fleet.relays:
-            relay.door.fall_silent()
+            relay.discovery.fall_silent()
 
     async def _discovery_slow(self, event: Event) -> None:
         for relay in self.fleet.relays:
-            relay.door.slow = True
+            relay.discovery.slow = True
         await asyncio.sleep(event.lasts)
         for relay in self.fleet.relays:
-            relay.door.slow = False
+            relay.discovery.slow = False
 
     async def _crowd(self, event: Event) -> None:
         self.crowd(int(event.amount))
--- a/scaledeal/lab/soak/fleet.py
+++ b/scaledeal/lab/soak/fleet.py
@@ -14,10 +14,10 @@
 
 import msgspec
 
-from scaledeal.lab.soak.client import Place
-from scaledeal.lab.soak.discovery import Catalog, Door
+from scaledeal.lab.soak.client import Target
+from scaledeal.lab.soak.discovery import Catalog, DiscoveryEndpoint
 from scaledeal.lab.soak.history import Ending, History
-from scaledeal.lab.soak.plan import Habit, Plan
+from scaledeal.lab.soak.plan import Plan, ServerBehavior
 from scaledeal.lab.soak.proxy import Link
 from scaledeal.lab.soak.shim import FaultControl
 
@@ -43,15 +43,16 @@
         """Start it, and wait for its port."""
         pipe = asyncio.subprocess.PIPE
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "scaledeal.lab.soak.tile_server", self.name, stdin=pipe, stdout=pipe)
+            sys.executable, "-m", "scaledeal.lab.soak.tile_server", self.name, stdin=pipe, stdout=pipe
+        )
         assert self.process.stdout is not None
         self.port = int(await self.process.stdout.readline())
 
-    def behave(self, habit: Habit) -> None:
+    def behave(self, behavior: ServerBehavior) -> None:
         """Have it answer otherwise from now on."""
         if self.process is not None and self.process.stdin is not None and self.process.returncode is None:
             with suppress(OSError):
-                self.process.stdin.write(habit.value.encode() + b"\n")
+                self.process.stdin.write(behavior.value.encode() + b"\n")
 
     def send(self, number: signal.Signals) -> None:
         """Send it a signal."""
@@ -68,9 +69,17 @@
 class Relay:
     """One relay: its address, the process that runs now, and its faults."""
 
-    def __init__(self, name: str, folder: Path, faults: FaultControl, door: Door, plan: Plan, number: int,
-                 program: tuple[str, ...]) -> None:
-        self.name, self.folder, self.faults, self.door = name, folder, faults, door
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        faults: FaultControl,
+        discovery: DiscoveryEndpoint,
+        plan: Plan,
+        number: int,
+        program: tuple[str, ...],
+    ) -> None:
+        self.name, self.folder, self.faults, self.discovery = name, folder, faults, discovery
         self.plan, self.number, self.program = plan, number, program
         self.links: dict[str, Link] = {}
         self.incarnation = 0
@@ -90,25 +99,42 @@
         """Start a new process, which knows nothing of the one before."""
         self.incarnation += 1
         self.told = self.killed = None
-        self.door.incarnation = self.incarnation
+        self.discovery.incarnation = self.incarnation
         for link in self.links.values():
             link.incarnation = self.incarnation
         self.write_config()
         runtime = self.folder / f"{self.name}-{self.incarnation}"
         runtime.mkdir()
-        environment = {**os.environ, **self.faults.environment(), "PROXY_NAME": self.name,
-                       "PROXY_LISTEN": f"127.0.0.1:{self.port}", "PROXY_DISCOVERY": self.door.address,
-                       "PROXY_CONFIG": str(self.config), "PROXY_ADMIN": "127.0.0.1:0", "TMPDIR": str(runtime),
-                       "SCALEDEAL_DIES_WITH_PARENT": "1"}
+        environment = {
+            **os.environ,
+            **self.faults.environment(),
+            "PROXY_NAME": self.name,
+            "PROXY_LISTEN": f"127.0.0.1:{self.port}",
+            "PROXY_DISCOVERY": self.discovery.address,
+            "PROXY_CONFIG": str(self.config),
+            "PROXY_ADMIN": "127.0.0.1:0",
+            "TMPDIR": str(runtime),
+            "SCALEDEAL_DIES_WITH_PARENT": "1",
+        }
         self.process = await asyncio.create_subprocess_exec(
-            *self.program, env=environment, stderr=asyncio.subprocess.PIPE)
+            *self.program, env=environment, stderr=asyncio.subprocess.PIPE
+        )
 
     def write_config(self) -> None:
         """Write the configuration as it is to be read now."""
         settings = {**self.plan.settings, "Me": self.number, "Zone": self.number % 2}
-        self.config.write_bytes(msgspec.json.encode({
-            "name": self.name, "seed": f"{self.plan.seed}-{self.number}-{self.incarnation}", "settings": settings,
-            "discovery": self.door.address, "limits": {"sockets": DESCRIPTORS}, "known": self.door.whole_list()}))
+        self.config.write_bytes(
+            msgspec.json.encode(
+                {
+                    "name": self.name,
+                    "seed": f"{self.plan.seed}-{self.number}-{self.incarnation}",
+                    "settings": settings,
+                    "discovery": self.discovery.address,
+                    "limits": {"sockets": DESCRIPTORS},
+                    "known": self.discovery.whole_list(),
+                }
+            )
+        )
 
     async def read_log(self) -> None:
         """Keep what the process logs, until it ends."""
@@ -170,9 +196,9 @@
     async def _add_relay(self, number: int) -> None:
         name = f"n{number}"
         faults = FaultControl(self.library, self.folder / f"{name}.faults", self.plan.seed * 1000 + number + 1)
-        door = Door(name, self.catalog, self._address, self.history.lists.append)
-        await door.open()
-        relay = Relay(name, self.folder, faults, door, self.plan, number, self.program)
+        discovery = DiscoveryEndpoint(name, self.catalog, self._address, self.history.lists.append)
+        await discovery.open()
+        relay = Relay(name, self.folder, faults, discovery, self.plan, number, self.program)
         self.relays.append(relay)
         for server in self.servers.values():
             self._link(relay, server)
@@ -269,13 +295,13 @@
 
     # The front
 
-    def place(self) -> Place | None:
+    def target(self) -> Target | None:
         """Return where the next client goes."""
         chosen = [relay for relay in self.relays if relay.in_service]
         if not chosen:
             return None
         relay = self.random.choice(chosen)
-        return Place(relay.name, relay.incarnation, relay.port)
+        return Target(relay.name, relay.incarnation, relay.port)
 
     # The end
 
@@ -285,7 +311,7 @@
         for relay in self.relays:
             relay.send(signal.SIGCONT)
             relay.send(signal.SIGKILL)
-            await relay.door.close()
+            await relay.discovery.close()
             for link in relay.links.values():
                 link.close()
             relay.reserved.close()
--- a/scaledeal/lab/soak/history.py
+++ b/scaledeal/lab/soak/history.py
@@ -86,7 +86,7 @@
     exit_code: int | None
 
 
-class Stuck(msgspec.Struct):
+class StalledClient(msgspec.Struct):
     """A client that was owed an end and got none in time."""
 
     relay: str
@@ -103,7 +103,7 @@
     lists: list[ListWritten] = msgspec.field(default_factory=list)
     changes: list[StateChange] = msgspec.field(default_factory=list)
     endings: list[Ending] = msgspec.field(default_factory=list)
-    stuck: list[Stuck] = msgspec.field(default_factory=list)
+    stalled_clients: list[StalledClient] = msgspec.field(default_factory=list)
     slow_starts: list[tuple[str, float]] = msgspec.field(default_factory=list)  # relays that took so many seconds
     logs: dict[str, list[str]] = msgspec.field(default_factory=dict)  # by relay, the lines of all its processes
     ended: float = 0.0
--- a/scaledeal/lab/soak/oracle.py
+++ b/scaledeal/lab/soak/oracle.py
@@ -48,7 +48,7 @@
     CUT = "connection cut without MOVE"
     END_HELD_BACK = "server's end not passed on"
     HELD_AT_KILL = "held when SIGKILL came"
-    STUCK = "bad client neither answered nor closed"
+    STALLED_CLIENT = "bad client neither answered nor closed"
     CRASH = "relay crashed"
     NOT_READY = "relay not ready in time"
     LOG = "traceback or violated invariant in a log"
@@ -170,8 +170,13 @@
             since = told.get((attempt.relay, attempt.incarnation, attempt.server))
             limit = DRAIN_GRACE + SOCKETS + SLACK
             if since is not None and attempt.first_byte > since + limit:
-                yield Violation(Rule.DRAINING, attempt.first_byte, attempt.relay, attempt.id,
-                                f"{attempt.server}, {attempt.first_byte - since:.2f} s after it was told")
+                yield Violation(
+                    Rule.DRAINING,
+                    attempt.first_byte,
+                    attempt.relay,
+                    attempt.id,
+                    f"{attempt.server}, {attempt.first_byte - since:.2f} s after it was told",
+                )
 
     def _told(self) -> dict[tuple[str, int, str], float]:
         """Return when each relay was told that a server drains or is gone; those that never come back alone."""
@@ -194,8 +199,13 @@
         for change in self.history.changes:
             if change.status != "active" or not change.since:
                 continue
-            came = sorted(each.whole for each in self.history.attempts if each.server == change.server
-                          and each.whole is not None and change.at <= each.whole <= change.at + warm_after)
+            came = sorted(
+                each.whole
+                for each in self.history.attempts
+                if each.server == change.server
+                and each.whole is not None
+                and change.at <= each.whole <= change.at + warm_after
+            )
             for index, moment in enumerate(came):
                 warm = rules["ColdFrom"] + (1 - rules["ColdFrom"]) * min(1.0, (moment - change.at) / warm_after)
                 allowed = rules["OverloadFactor"] * SERVER_RATE * warm * span
@@ -215,17 +225,19 @@
                 yield Violation(Rule.CRASH, ending.told, ending.relay, "", f"exit code {ending.exit_code} at its end")
             elif ending.told is not None and ending.killed is not None:
                 yield from self._held(ending, ending.killed)
-        for stuck in self.history.stuck:
-            if not self._crashed(stuck.relay, stuck.incarnation, stuck.since + stuck.seconds):
-                yield Violation(Rule.STUCK, stuck.since, stuck.relay, "", f"for {stuck.seconds:.1f} s")
+        for client in self.history.stalled_clients:
+            if not self._crashed(client.relay, client.incarnation, client.since + client.seconds):
+                yield Violation(Rule.STALLED_CLIENT, client.since, client.relay, "", f"for {client.seconds:.1f} s")
         for relay, seconds in self.history.slow_starts:
             if seconds > READY:
                 yield Violation(Rule.NOT_READY, 0.0, relay, "", f"{seconds:.1f} s")
 
     def _ended_well(self, ending: Ending) -> bool:
         """Tell whether a relay that was told to end did; one that has served nobody may end by the signal itself."""
-        served = any((request.relay, request.incarnation) == (ending.relay, ending.incarnation)
-                     for request in self.history.requests)
+        served = any(
+            (request.relay, request.incarnation) == (ending.relay, ending.incarnation)
+            for request in self.history.requests
+        )
         return ending.exit_code == 0 or (ending.exit_code == -signal.SIGTERM and not served)
 
     def _held(self, ending: Ending, killed: float) -> Iterator[Violation]:
--- a/scaledeal/lab/soak/plan.py
+++ b/scaledeal/lab/soak/plan.py
@@ -23,7 +23,7 @@
     HANG = "hang"  # the server stops, and goes on later
     CRASH = "crash"  # the server is killed, and returns cold
     DRAIN = "drain"  # the server drains, leaves, and is replaced by a cold one
-    HABIT = "habit"  # the server answers badly
+    BAD_SERVER = "bad_server"  # the server answers badly
     CUT = "cut"  # relays and servers do not reach each other, and connections are reset at the end of that
     RESET = "reset"  # all connections to the server are reset at once
     LATE = "late"  # connections to the server come up late
@@ -34,7 +34,7 @@
     CROWD = "crowd"  # many clients at once
 
 
-class Habit(Enum):
+class ServerBehavior(Enum):
     """How a server answers."""
 
     SOUND = "sound"
@@ -55,7 +55,7 @@
     relays: tuple[int, ...] = ()
     servers: tuple[int, ...] = ()
     amount: float = 0.0  # a step in seconds, a share of calls, clients of a crowd
-    habit: Habit = Habit.SOUND
+    behavior: ServerBehavior = ServerBehavior.SOUND
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -90,8 +90,16 @@
     servers = processes - relays
     pushed = random.random() < 0.3
     events = [_event(random, fault, seconds, relays, servers) for fault in _kinds(random)]
-    return Plan(seed, seconds, relays, servers, random.uniform(15.0, 45.0), pushed, _settings(random, relays, pushed),
-                tuple(sorted(events, key=lambda event: event.at)))
+    return Plan(
+        seed,
+        seconds,
+        relays,
+        servers,
+        random.uniform(15.0, 45.0),
+        pushed,
+        _settings(random, relays, pushed),
+        tuple(sorted(events, key=lambda event: event.at)),
+    )
 
 
 def _kinds(random: Random) -> list[Fault]:
@@ -102,18 +110,43 @@
 
 def _settings(random: Random, relays: int, pushed: bool) -> dict[str, Any]:
     deadlines = {name: random.choice((800, 1200, 1800, 3000)) for name, _ in CLASSES}
-    classes = [{"Name": name, "Aim": deadlines[name] * MS // 3, "Deadline": deadlines[name] * MS, "Worth": 2.0,
-                "Semantics": semantics, "KeyScope": random.choice(("cell", "all")), "Window": 2000 * MS}
-               for name, semantics in CLASSES]
+    classes = [
+        {
+            "Name": name,
+            "Aim": deadlines[name] * MS // 3,
+            "Deadline": deadlines[name] * MS,
+            "Worth": 2.0,
+            "Semantics": semantics,
+            "KeyScope": random.choice(("cell", "all")),
+            "Window": 2000 * MS,
+        }
+        for name, semantics in CLASSES
+    ]
     return {
         "Classes": classes,
-        "Caps": {"Probing": True, "Cancelling": True, "RetryAfter": True, "MaxRetryAfter": 1500 * MS,
-                 "MaxAttempts": 6, "DialTimeout": 250 * MS, "IdleClose": 5000 * MS},
+        "Caps": {
+            "Probing": True,
+            "Cancelling": True,
+            "RetryAfter": True,
+            "MaxRetryAfter": 1500 * MS,
+            "MaxAttempts": 6,
+            "DialTimeout": 250 * MS,
+            "IdleClose": 5000 * MS,
+        },
         "Report": {"Fields": ["fail_rate", "rif", "x0"], "Via": "probe"},
-        "Discovery": "pushed" if pushed else "on_request", "FailureDomains": ["a", "b"], "Siblings": relays,
-        "Specifics": {"Groups": True, "MessageAim": [150 * MS] * len(CLASSES)}, "Weights": "rough",
-        "Rules": {"AskWithin": 10_000 * MS, "ColdFrom": 0.3, "DrainGrace": DRAIN_GRACE * 1e9, "Fall": 1000 * MS,
-                  "OverloadFactor": 3.0, "WarmAfter": 5000 * MS},
+        "Discovery": "pushed" if pushed else "on_request",
+        "FailureDomains": ["a", "b"],
+        "Siblings": relays,
+        "Specifics": {"Groups": True, "MessageAim": [150 * MS] * len(CLASSES)},
+        "Weights": "rough",
+        "Rules": {
+            "AskWithin": 10_000 * MS,
+            "ColdFrom": 0.3,
+            "DrainGrace": DRAIN_GRACE * 1e9,
+            "Fall": 1000 * MS,
+            "OverloadFactor": 3.0,
+            "WarmAfter": 5000 * MS,
+        },
     }
 
 
@@ -139,9 +172,14 @@
             return Event(at, fault, random.uniform(1.0, 8.0), servers=few_servers)
         case Fault.CRASH | Fault.DRAIN | Fault.RESET:
             return Event(at, fault, random.uniform(1.0, 3.0), servers=few_servers)
-        case Fault.HABIT:
-            return Event(at, fault, random.uniform(2.0, 6.0), servers=few_servers,
-                         habit=random.choice([each for each in Habit if each is not Habit.SOUND]))
+        case Fault.BAD_SERVER:
+            return Event(
+                at,
+                fault,
+                random.uniform(2.0, 6.0),
+                servers=few_servers,
+                behavior=random.choice([each for each in ServerBehavior if each is not ServerBehavior.SOUND]),
+            )
         case Fault.CUT:
             return Event(at, fault, random.uniform(2.0, 8.0), few_relays, few_servers)
         case Fault.LATE | Fault.PIECES:
--- a/scaledeal/lab/soak/proxy.py
+++ b/scaledeal/lab/soak/proxy.py
@@ -34,7 +34,7 @@
         self.upstream: int | None = None  # the server's port; none while it is down
         self.silent = False
         self.pieces = False
-        self.passages: set[Passage] = set()
+        self.connections: set[ProxiedConnection] = set()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
         self.listener.setblocking(False)
         self.fillers: list[socket.socket] = []  # connections that fill the queue while others are to come up late
@@ -59,8 +59,8 @@
 
     def reset(self) -> None:
         """Reset whatever passes."""
-        for passage in list(self.passages):
-            passage.reset()
+        for connection in list(self.connections):
+            connection.reset()
 
     def cut(self, silent: bool) -> None:
         """Pass nothing on, and take nothing new; or reset what was silent, and go on."""
@@ -95,13 +95,13 @@
                 # Given up while it waited in the queue: what it had sent is still read, and would count as sent now.
                 sock.close()
                 continue
-            passage = Passage(self)
-            self.passages.add(passage)
-            await loop.connect_accepted_socket(lambda made=passage: made.relay_side, sock)  # type: ignore[misc]
-            passage.dial()
+            connection = ProxiedConnection(self)
+            self.connections.add(connection)
+            await loop.connect_accepted_socket(lambda made=connection: made.relay_side, sock)  # type: ignore[misc]
+            connection.dial()
 
 
-class Passage:
+class ProxiedConnection:
     """One connection of a relay's to a server, and the proxy's own behind it."""
 
     def __init__(self, link: Link) -> None:
@@ -120,7 +120,8 @@
             if self.link.upstream is None:
                 raise ConnectionRefusedError
             await asyncio.get_running_loop().create_connection(
-                lambda: self.server_side, "127.0.0.1", self.link.upstream)
+                lambda: self.server_side, "127.0.0.1", self.link.upstream
+            )
         except OSError:
             self.reset()
 
@@ -156,14 +157,14 @@
         other = self.server_side if from_relay else self.relay_side
         other.reset() if broke else other.close()
         if self.relay_side.over:
-            self.link.passages.discard(self)
+            self.link.connections.discard(self)
 
     def reset(self) -> None:
         """Reset both sides."""
         self._note_server_ended()
         self.relay_side.reset()
         self.server_side.reset()
-        self.link.passages.discard(self)
+        self.link.connections.discard(self)
 
     # The record
 
@@ -199,10 +200,10 @@
 
 
 class _Side(asyncio.Protocol):
-    """One side of a passage; holds what comes before it is connected."""
+    """One side of a connection; holds what comes before it is connected."""
 
-    def __init__(self, passage: Passage, of_relay: bool) -> None:
-        self.passage, self.of_relay = passage, of_relay
+    def __init__(self, connection: ProxiedConnection, of_relay: bool) -> None:
+        self.connection, self.of_relay = connection, of_relay
         self.transport: asyncio.Transport | None = None
         self.waiting: list[bytes] = []
         self.queue = b""
@@ -221,16 +222,16 @@
             self.end()
 
     def data_received(self, data: bytes) -> None:
-        self.passage.came(self.of_relay, data)
+        self.connection.came(self.of_relay, data)
 
     def eof_received(self) -> bool:
-        self.passage.ended(self.of_relay)
+        self.connection.ended(self.of_relay)
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.over:
             self.over = True
-            self.passage.lost(self.of_relay, exc is not None)
+            self.connection.lost(self.of_relay, exc is not None)
 
     def write(self, data: bytes, pieces: bool) -> None:
         if self.transport is None:
@@ -270,5 +271,6 @@
         if self.transport is not None and not self.transport.is_closing():
             with suppress(OSError):
                 self.transport.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
             self.transport.abort()
--- a/scaledeal/lab/soak/run.py
+++ b/scaledeal/lab/soak/run.py
@@ -11,16 +11,23 @@
 
 import msgspec
 
-from scaledeal.lab.soak.client import Client, Manner, Place
+from scaledeal.lab.soak.client import Client, ClientBehavior, Target
 from scaledeal.lab.soak.faults import Faults
 from scaledeal.lab.soak.fleet import PROGRAM, Fleet
-from scaledeal.lab.soak.history import Request, Stuck
+from scaledeal.lab.soak.history import Request, StalledClient
 from scaledeal.lab.soak.oracle import BAD_CLIENT, Judge, Rule, Violation
 from scaledeal.lab.soak.plan import Plan
 from scaledeal.lab.soak.shim import build
 
-MANNERS = {Manner.STAYS: 4, Manner.SHORT: 10, Manner.LEAVES: 3, Manner.SLOW: 1, Manner.STOPS: 1, Manner.BAD: 1,
-           Manner.RESTS: 1}
+BEHAVIORS = {
+    ClientBehavior.STAYS: 4,
+    ClientBehavior.SHORT: 10,
+    ClientBehavior.LEAVES: 3,
+    ClientBehavior.SLOW: 1,
+    ClientBehavior.STOPS: 1,
+    ClientBehavior.BAD: 1,
+    ClientBehavior.RESTS: 1,
+}
 LAST_SERIES = 0.2  # seconds over which all relays are told to end
 TRIES = 3  # times that a client comes again after a refusal or a move
 LOOK = 0.02  # seconds between two looks at the driver's own delay
@@ -54,9 +61,11 @@
         """Return the result on one line."""
         told = self.void or ", ".join(f"{count} {rule.value}" for rule, count in self.broken().items()) or "held"
         faults = " ".join(f"{name}*{count}" if count > 1 else name for name, count in self.faults.items())
-        return (f"seed {self.seed}: {told} | {self.relays} relays, {self.servers} servers, {self.requests} requests, "
-                f"{self.stood} up, {self.refused} refused, {self.failed} failed, {self.attempts} attempts, "
-                f"driver late {self.longest_lag_ms:.0f} ms | {self.overlaps} overlaps: {faults}")
+        return (
+            f"seed {self.seed}: {told} | {self.relays} relays, {self.servers} servers, {self.requests} requests, "
+            f"{self.stood} up, {self.refused} refused, {self.failed} failed, {self.attempts} attempts, "
+            f"driver late {self.longest_lag_ms:.0f} ms | {self.overlaps} overlaps: {faults}"
+        )
 
 
 class Soak:
@@ -70,9 +79,9 @@
 
     # The front
 
-    def place(self) -> Place | None:
+    def target(self) -> Target | None:
         """Return where the next client goes."""
-        return self.fleet.place()
+        return self.fleet.target()
 
     def now(self) -> float:
         """Return the driver's time."""
@@ -82,10 +91,11 @@
         """Take a new request into the history."""
         self.fleet.history.requests.append(request)
 
-    def stuck(self, place: Place, seconds: float) -> None:
+    def client_stalled(self, target: Target, seconds: float) -> None:
         """Hear of a bad client that got neither answer nor close."""
         if seconds > BAD_CLIENT:
-            self.fleet.history.stuck.append(Stuck(place.relay, place.incarnation, self.now() - seconds, seconds))
+            stalled = StalledClient(target.relay, target.incarnation, self.now() - seconds, seconds)
+            self.fleet.history.stalled_clients.append(stalled)
 
     # The play
 
@@ -127,8 +137,8 @@
         await asyncio.gather(*played)
         await asyncio.sleep(TAIL)
 
-    def _come(self, again: bool = False, tries: int = TRIES, manner: Manner | None = None) -> None:
-        chosen = manner or self.random.choices(list(MANNERS), list(MANNERS.values()))[0]
+    def _come(self, again: bool = False, tries: int = TRIES, behavior: ClientBehavior | None = None) -> None:
+        chosen = behavior or self.random.choices(list(BEHAVIORS), list(BEHAVIORS.values()))[0]
         entry = self.random.choice(self.plan.settings["Classes"])
         wait = entry["Deadline"] / 1e9 * self.random.choice((1.0, 1.0, 0.5, 0.1))
         client = Client(self, Random(self.random.getrandbits(64)), entry["Name"], wait, chosen, again)
@@ -140,7 +150,7 @@
         word = await client.run()
         if word in ("BUSY", "MOVE") and tries > 0 and not self.fleet.ending:
             await asyncio.sleep(self.random.choice((0.0, 0.1, 0.5)))
-            self._come(word == "MOVE", tries - 1, client.manner)
+            self._come(word == "MOVE", tries - 1, client.behavior)
 
     def _crowd(self, count: int) -> None:
         for _ in range(count):
@@ -158,11 +168,22 @@
         judge = Judge(plan, history)
         answers = Counter(request.answer.partition(" ")[0] for request in history.requests)
         result = Result(
-            seed=plan.seed, relays=plan.relays, servers=plan.servers, seconds=plan.seconds,
-            faults=dict(Counter(event.fault.value for event in plan.events)), overlaps=_overlaps(plan),
-            requests=len(history.requests), stood=answers["UP"], refused=answers["BUSY"], failed=answers["ERR"],
-            attempts=len(history.attempts), violations=judge.violations(), void=judge.void(),
-            longest_lag_ms=history.worst_lag * 1000, folder=str(self.folder))
+            seed=plan.seed,
+            relays=plan.relays,
+            servers=plan.servers,
+            seconds=plan.seconds,
+            faults=dict(Counter(event.fault.value for event in plan.events)),
+            overlaps=_overlaps(plan),
+            requests=len(history.requests),
+            stood=answers["UP"],
+            refused=answers["BUSY"],
+            failed=answers["ERR"],
+            attempts=len(history.attempts),
+            violations=judge.violations(),
+            void=judge.void(),
+            longest_lag_ms=history.worst_lag * 1000,
+            folder=str(self.folder),
+        )
         (self.folder / "history.json").write_bytes(msgspec.json.encode(history))
         (self.folder / "result.json").write_bytes(msgspec.json.encode(result))
         return result
@@ -170,8 +191,11 @@
 
 def _overlaps(plan: Plan) -> int:
     events = plan.events
-    return sum(first.at <= second.at <= first.at + max(first.lasts, 0.5)
-               for index, first in enumerate(events) for second in events[index + 1:])
+    return sum(
+        first.at <= second.at <= first.at + max(first.lasts, 0.5)
+        for index, first in enumerate(events)
+        for second in events[index + 1 :]
+    )
 
 
 def run(plan: Plan, folder: Path, program: tuple[str, ...] = PROGRAM) -> Result:
--- a/scaledeal/lab/soak/tile_server.py
+++ b/scaledeal/lab/soak/tile_server.py
@@ -1,7 +1,7 @@
 """A stand-in tile server as a process of its own: ``python -m scaledeal.lab.soak.tile_server NAME``.
 
-Prints its port, then takes the names of habits, one a line, on standard input; it ends with that. Speaks the lines of
-the protocol: first lines, probes, and an echo for every line of a connection that is up.
+Prints its port, then takes the names of behaviors, one a line, on standard input; it ends with that. Speaks the lines
+of the protocol: first lines, probes, and an echo for every line of a connection that is up.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 import sys
 from itertools import count
 
-from scaledeal.lab.soak.plan import Habit
+from scaledeal.lab.soak.plan import ServerBehavior
 
 END = b"\r\n"
 WORKS = 0.01  # seconds from a first line to its answer
@@ -22,11 +22,11 @@
 
 
 class TileServer:
-    """Its habit, and how many connections it holds."""
+    """Its behavior, and how many connections it holds."""
 
     def __init__(self, name: str) -> None:
         self.name = name
-        self.habit = Habit.SOUND
+        self.behavior = ServerBehavior.SOUND
         self.standing = 0
         self.receipts = count(1)
 
@@ -64,31 +64,31 @@
             self.say(self.server.report() if line == b"STATS" else b"PONG")
         elif not self.asked:
             self.asked = True
-            works = SLOW if self.server.habit is Habit.SLOW else WORKS
+            works = SLOW if self.server.behavior is ServerBehavior.SLOW else WORKS
             asyncio.get_running_loop().call_later(works, self.answer)
 
     def answer(self) -> None:
-        """Answer a first line as the habit is."""
+        """Answer a first line as the behavior is."""
         if self.transport.is_closing():
             return
-        match self.server.habit:
-            case Habit.ERRORS:
+        match self.server.behavior:
+            case ServerBehavior.ERRORS:
                 self.say(b"ERR")
                 self.transport.close()
-            case Habit.BUSY:
+            case ServerBehavior.BUSY:
                 self.say(b"BUSY")
                 self.transport.close()
-            case Habit.SERVED:
+            case ServerBehavior.SERVED:
                 self.say(b"BYE")
                 self.transport.close()
-            case Habit.HALF:
+            case ServerBehavior.HALF:
                 self.transport.write(b"UP r")
                 self.reset()
-            case habit:
+            case behavior:
                 self.stands = True
                 self.server.standing += 1
                 self.say(b"UP %s-%d" % (self.server.name.encode(), next(self.server.receipts)))
-                if habit is Habit.ENDS:
+                if behavior is ServerBehavior.ENDS:
                     asyncio.get_running_loop().call_later(ENDS, self.transport.close)
 
     def say(self, line: bytes) -> None:
@@ -115,7 +115,7 @@
     reader = asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     while line := await reader.readline():
-        server.habit = Habit(line.decode().strip())
+        server.behavior = ServerBehavior(line.decode().strip())
 
 
 if __name__ == "__main__":
--- a/scaledeal/net/gate.py
+++ b/scaledeal/net/client_listener.py
@@ -18,7 +18,7 @@
 from scaledeal.net.socket_errors import AcceptErrors, Remedy
 from scaledeal.net.user_agent import Reception, UserAgent
 
-log = logging.getLogger("scaledeal.gate")
+log = logging.getLogger("scaledeal.client_listener")
 
 BACKLOG = 1024  # connections that wait in the queue
 AT_ONCE = 8  # calls of accept that may fail in one round
@@ -27,7 +27,7 @@
 SHORT = 0.01  # seconds that connections wait in the queue while the process is short of what they need
 
 
-class Door(ServerFactory):
+class ClientFactory(ServerFactory):
     """Makes a user agent's side for each new connection."""
 
     noisy = False
@@ -40,7 +40,7 @@
         return UserAgent(self.reception) if self.reception.admission.room() else None
 
 
-class Gate(tcp.Port):
+class ClientListener(tcp.Port):
     """The listening socket.
 
     Guards against a burst of connections that is taken whole before the first line of any is read, and before
@@ -116,7 +116,7 @@
 
     def _welcome(self, sock: socket.socket, address: Any) -> None:
         try:
-            protocol = cast(Door, self.factory).buildProtocol(cast(Any, self)._buildAddr(address))
+            protocol = cast(ClientFactory, self.factory).buildProtocol(cast(Any, self)._buildAddr(address))
             if protocol is None:
                 sock.close()
                 return
@@ -131,7 +131,7 @@
         self._pauses += 1
         if self._pauses % PATIENT == 0:
             # Guards against a shortage that lasts: idle clients hold what those in the queue need.
-            cast(Door, self.factory).reception.admission.shed()
+            cast(ClientFactory, self.factory).reception.admission.shed()
         if self._pause is None:
             self._pause = cast(Reactor, self.reactor).callLater(SHORT, self._read_again)
 
--- a/scaledeal/net/clocks.py
+++ b/scaledeal/net/clocks.py
@@ -63,8 +63,11 @@
 
     def lines(self) -> list[str]:
         """Return the figures as operators read them."""
-        return [f"relay_wall_clock_steps_total {self.steps}", f"relay_loop_delays_total {self.delays}",
-                f"relay_loop_delay_max_ms {self.longest_delay * 1000:.0f}"]
+        return [
+            f"relay_wall_clock_steps_total {self.steps}",
+            f"relay_loop_delays_total {self.delays}",
+            f"relay_loop_delay_max_ms {self.longest_delay * 1000:.0f}",
+        ]
 
     def _look_again(self) -> None:
         self._due = self.monotonic() + int(PERIOD * SECOND)
--- a/scaledeal/net/invariants.py
+++ b/scaledeal/net/invariants.py
@@ -45,15 +45,25 @@
         """Count a violation, and log the first of each rule in a while."""
         self.violations[rule] += 1
         if self._due(rule):
-            log.error("invariant %s violated %d times, last by request %s: %s", rule.value, self.violations[rule],
-                      request or "-", detail)
+            log.error(
+                "invariant %s violated %d times, last by request %s: %s",
+                rule.value,
+                self.violations[rule],
+                request or "-",
+                detail,
+            )
 
     def prevents(self, rule: Rule, request: str, detail: str) -> None:
         """Count an action that would have violated a rule, and was not carried out."""
         self.prevented[rule] += 1
         if self._due(rule):
-            log.warning("invariant %s kept %d times against what was wanted, last for request %s: %s", rule.value,
-                        self.prevented[rule], request or "-", detail)
+            log.warning(
+                "invariant %s kept %d times against what was wanted, last for request %s: %s",
+                rule.value,
+                self.prevented[rule],
+                request or "-",
+                detail,
+            )
 
     def summary(self) -> str:
         """Return the violations in words."""
@@ -62,8 +72,11 @@
 
     def lines(self) -> list[str]:
         """Return the figures as operators read them: every rule, also those that were never broken."""
-        return [f'relay_invariant_{name}_total{{rule="{rule.value}"}} {counts[rule]}'
-                for name, counts in (("violations", self.violations), ("prevented", self.prevented)) for rule in Rule]
+        return [
+            f'relay_invariant_{name}_total{{rule="{rule.value}"}} {counts[rule]}'
+            for name, counts in (("violations", self.violations), ("prevented", self.prevented))
+            for rule in Rule
+        ]
 
     def _due(self, rule: Rule) -> bool:
         now, last = self.now(), self._logged_at.get(rule)
--- a/scaledeal/net/monotonic_reactor.py
+++ b/scaledeal/net/monotonic_reactor.py
@@ -70,8 +70,14 @@
             self._poller.register(descriptor, select.EPOLLIN)
         twisted.close()
 
-    def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30,  # noqa: N802
-                   bindAddress: Any = None) -> Any:  # noqa: N803
+    def connectTCP(  # noqa: N802
+        self,
+        host: str,
+        port: int,
+        factory: Any,
+        timeout: float = 30,
+        bindAddress: Any = None,  # noqa: N803
+    ) -> Any:
         """Open a connection whose reads and writes outlive a moment's want of memory."""
         connector = PatientConnector(host, port, factory, timeout, bindAddress, self)
         connector.connect()
--- a/scaledeal/net/patient_sockets.py
+++ b/scaledeal/net/patient_sockets.py
@@ -34,7 +34,7 @@
         """Write what the system takes; return how much that was."""
         mine = cast(Any, self)
         try:
-            return mine.socket.send(memoryview(data)[:mine.SEND_LIMIT])
+            return mine.socket.send(memoryview(data)[: mine.SEND_LIMIT])
         except OSError as error:
             return 0 if may_be_tried_again(error.errno) else CONNECTION_LOST
 
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -16,12 +16,12 @@
 from scaledeal.net.admission import Admission, most_descriptors
 from scaledeal.net.attempt import AttemptContext
 from scaledeal.net.buffers import BufferPool
+from scaledeal.net.client_listener import BACKLOG, ClientFactory, ClientListener
 from scaledeal.net.clocks import ClockMonitor, UnixClock
 from scaledeal.net.config import Config
 from scaledeal.net.discovery_watch import DiscoveryWatch
 from scaledeal.net.driver import Driver
 from scaledeal.net.figures import Figures
-from scaledeal.net.gate import BACKLOG, Door, Gate
 from scaledeal.net.handover import Place
 from scaledeal.net.health_probe import HealthProbes
 from scaledeal.net.operators import Operators
@@ -79,7 +79,7 @@
         self.driver.prober = probes = HealthProbes(context, int(document.caps.idle_close), self.driver.post,
                                                    admission.for_probes)
         admission.probing, admission.end_probes = probes.held, probes.give_back
-        self.door = Door(Reception(context, classes, tenants, admission, self.driver.take,
+        self.door = ClientFactory(Reception(context, classes, tenants, admission, self.driver.take,
                                    lambda: self.service.stage not in (Stage.STARTING, Stage.LAME_DUCK)))
         self.port: Port | None = None
         self.service = Service(self.driver)
@@ -148,7 +148,7 @@
             self._log_listens()
         else:
             family = socket.AF_INET6 if ":" in self.config.listen.host else socket.AF_INET
-            self.port = cast(Any, Gate)._fromListeningDescriptor(self.reactor, descriptor, family, self.door)
+            self.port = cast(Any, ClientListener)._fromListeningDescriptor(self.reactor, descriptor, family, self.door)
             os.close(descriptor)
             self.adopted = True
             log.info("taking over from the process that serves: waiting for the whole list")
--- a/scaledeal/net/socket_errors.py
+++ b/scaledeal/net/socket_errors.py
@@ -20,16 +20,31 @@
     SOON = "again soon"  # the process or the machine is short of something: what waits, waits in the queue
 
 
-NETWORK_ERRORS = frozenset((
-    errno.ENETDOWN, errno.EPROTO, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET, errno.EHOSTUNREACH,
-    errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT, errno.ECONNRESET))
+NETWORK_ERRORS = frozenset(
+    (
+        errno.ENETDOWN,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+        errno.ETIMEDOUT,
+        errno.ECONNRESET,
+    )
+)
 SHORTAGES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 OWN_CONNECT_ERRORS = SHORTAGES | {errno.EADDRNOTAVAIL, errno.EADDRINUSE, errno.EAGAIN, errno.EACCES, errno.EPERM}
 
 _ACCEPT = {
-    errno.EAGAIN: Remedy.NOTHING_THERE, errno.EWOULDBLOCK: Remedy.NOTHING_THERE,
-    errno.EINTR: Remedy.AT_ONCE, errno.ECONNABORTED: Remedy.AT_ONCE, errno.EPERM: Remedy.AT_ONCE,
-    **dict.fromkeys(NETWORK_ERRORS, Remedy.AT_ONCE), **dict.fromkeys(SHORTAGES, Remedy.SOON),
+    errno.EAGAIN: Remedy.NOTHING_THERE,
+    errno.EWOULDBLOCK: Remedy.NOTHING_THERE,
+    errno.EINTR: Remedy.AT_ONCE,
+    errno.ECONNABORTED: Remedy.AT_ONCE,
+    errno.EPERM: Remedy.AT_ONCE,
+    **dict.fromkeys(NETWORK_ERRORS, Remedy.AT_ONCE),
+    **dict.fromkeys(SHORTAGES, Remedy.SOON),
 }
 
 
--- a/scaledeal/net/system.py
+++ b/scaledeal/net/system.py
@@ -12,7 +12,7 @@
 from twisted.internet import tcp
 from twisted.internet.protocol import ServerFactory
 
-from scaledeal.net.gate import Gate
+from scaledeal.net.client_listener import ClientListener
 from scaledeal.net.ports import Port, Reactor
 
 
@@ -33,5 +33,5 @@
 
     def port(self, clients: bool, port: int, factory: ServerFactory, backlog: int, host: str, reactor: Reactor) -> Port:
         """Return a listening socket, not opened yet: the clients' door, or another."""
-        kind = cast(Any, Gate if clients else tcp.Port)
+        kind = cast(Any, ClientListener if clients else tcp.Port)
         return cast(Port, kind(port, factory, backlog, host, reactor))
--- a/tests/netfakes.py
+++ b/tests/netfakes.py
@@ -20,9 +20,9 @@
 from scaledeal.net.app_server import _Dial
 from scaledeal.net.attempt import AttemptContext, LineAttempt
 from scaledeal.net.buffers import BufferPool
+from scaledeal.net.client_listener import ClientFactory
 from scaledeal.net.driver import Driver
 from scaledeal.net.figures import Figures
-from scaledeal.net.gate import Door
 from scaledeal.net.health_probe import HealthProbe, HealthProbes
 from scaledeal.net.lines import LineLink
 from scaledeal.net.relay import Relay
@@ -252,7 +252,7 @@
 
     def knock(self) -> Wire | None:
         """Connect as a client does; nothing where the socket is closed at once."""
-        agent = Door(self.reception).buildProtocol(None)
+        agent = ClientFactory(self.reception).buildProtocol(None)
         return Wire(self.reactor, agent) if agent else None
 
     def act(self, *actions: api.Action) -> None:
--- a/tests/test_connection_crossings.py
+++ b/tests/test_connection_crossings.py
@@ -17,7 +17,7 @@
 from scaledeal import interface as api
 from scaledeal.net.admission import CLOSING, OWN
 from scaledeal.net.buffers import LINE
-from scaledeal.net.gate import Door, Gate
+from scaledeal.net.client_listener import ClientFactory, ClientListener
 from scaledeal.net.transaction import SLACK
 
 FINAL = (b"UP", b"BUSY", b"ERR")
@@ -384,10 +384,10 @@
     reactor: Any = cast(Any, MonotonicReactor)()
     bench = Bench()
     bench.driver.leaving = True
-    gate: Any = Gate(0, Door(bench.reception), 64, "127.0.0.1", reactor)
-    gate.startListening()
-    at = ("127.0.0.1", gate.getHost().port)
-    gate.stopListening()
+    listener: Any = ClientListener(0, ClientFactory(bench.reception), 64, "127.0.0.1", reactor)
+    listener.startListening()
+    at = ("127.0.0.1", listener.getHost().port)
+    listener.stopListening()
     clients = [socket.create_connection(at) for _ in range(2 * CLOSING + 3)]  # it closes in the reactor's next round
     for number, each in enumerate(clients):
         each.sendall(b"OPEN %x k c=browse,d=2000\r\n" % number)
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -29,8 +29,10 @@
         yield world
 
 
-@pytest.mark.parametrize("call", [Call.ACCEPT, Call.RECV, Call.SEND, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND,
-                                  Call.POLL_CHANGE, Call.OPTION])
+@pytest.mark.parametrize(
+    "call",
+    [Call.ACCEPT, Call.RECV, Call.SEND, Call.WAIT, Call.SHORT_RECV, Call.SHORT_SEND, Call.POLL_CHANGE, Call.OPTION],
+)
 def test_every_request_is_answered_while_a_call_fails(failing: ShimmedWorld, call: Call) -> None:
     failing.faults.fail(call, FAILING)
     for number in range(1, 41):
@@ -56,7 +58,8 @@
 
 
 def test_a_new_configuration_is_read_again_after_a_shortage(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
     one = OneRelay(tmp_path)
     one.path.write_text(json.dumps({**one.written, "discovery": "127.0.0.8:8"}))
     sound, failures = config._file, [errno.ENFILE, errno.EIO, errno.ENOMEM]
@@ -74,7 +77,8 @@
 
 
 def test_a_file_that_can_not_be_read_now_is_told_from_one_that_is_bad(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     def read_bytes(path: Path) -> bytes:
         raise OSError(errno.ENFILE, "too many open files in system")
 
@@ -97,13 +101,14 @@
 
 def test_a_pause_ends_with_the_listening() -> None:
     # Guards against a port that reads on after it was told to read no more, as a pause for want of descriptors ends.
-    from scaledeal.net.gate import Gate
+    from scaledeal.net.client_listener import ClientListener
+
     reactor: Any = cast(Any, MonotonicReactor)()
-    gate: Any = Gate(0, ServerFactory(), 5, "127.0.0.1", reactor)
-    gate.startListening()
-    gate._pause_reading()
-    gate.stopReading()
+    listener: Any = ClientListener(0, ServerFactory(), 5, "127.0.0.1", reactor)
+    listener.startListening()
+    listener._pause_reading()
+    listener.stopReading()
     for _ in range(20):
         reactor.iterate(0.002)
-    assert gate not in reactor.getReaders()
-    gate.socket.close()
+    assert listener not in reactor.getReaders()
+    listener.socket.close()
--- a/tests/test_request_guard.py
+++ b/tests/test_request_guard.py
@@ -30,9 +30,20 @@
         self.list()
 
     def list(self, *draining: str, kind: api.MembershipKind = api.MembershipKind.FULL) -> None:
-        self.guard.listed(api.Membership(kind, tuple(
-            api.ServerEntry(name, api.ServerState.DRAINING if name in draining else api.ServerState.LIVE,
-                            zone=ord(name[0]), cell=ord(name[0])) for name in SERVERS)))
+        self.guard.listed(
+            api.Membership(
+                kind,
+                tuple(
+                    api.ServerEntry(
+                        name,
+                        api.ServerState.DRAINING if name in draining else api.ServerState.LIVE,
+                        zone=ord(name[0]),
+                        cell=ord(name[0]),
+                    )
+                    for name in SERVERS
+                ),
+            )
+        )
 
     def open(self, wait: int = SECOND, standing: bool = False) -> Obligation:
         return self.guard.open("r", 0, self.now + wait, standing)
@@ -85,10 +96,16 @@
     return scope is api.Scope.ALL or server[0] == "a"
 
 
-@given(semantics=st.sampled_from(api.Semantics), scope=st.sampled_from(api.Scope), first=st.sampled_from(api.Result),
-       after=st.sampled_from((0, WINDOW, WINDOW + 1)), server=st.sampled_from(SERVERS))
+@given(
+    semantics=st.sampled_from(api.Semantics),
+    scope=st.sampled_from(api.Scope),
+    first=st.sampled_from(api.Result),
+    after=st.sampled_from((0, WINDOW, WINDOW + 1)),
+    server=st.sampled_from(SERVERS),
+)
 def test_a_repeat_is_sent_and_refused_just_where_the_protocol_allows_it(
-        semantics: api.Semantics, scope: api.Scope, first: api.Result, after: int, server: str) -> None:
+    semantics: api.Semantics, scope: api.Scope, first: api.Result, after: int, server: str
+) -> None:
     world = World(semantics, scope)
     owed = world.open()
     world.guard.begun(owed, "a1")
@@ -105,13 +122,18 @@
     world.guard.answered(owed)
 
 
-@pytest.mark.parametrize(("rule", "happens"), [
-    (Rule.LATE_ANSWER, late),
-    (Rule.CLOSED_UNANSWERED, lambda world, owed: world.guard.closed(owed, by_relay=True)),
-    (Rule.STALLED, lambda world, owed: world.guard.silent(owed, 8 * SECOND)),
-    (Rule.OWED_AT_EXIT, lambda world, owed: world.guard.process_ends(owed))])
+@pytest.mark.parametrize(
+    ("rule", "happens"),
+    [
+        (Rule.LATE_ANSWER, late),
+        (Rule.CLOSED_UNANSWERED, lambda world, owed: world.guard.closed(owed, by_relay=True)),
+        (Rule.STALLED, lambda world, owed: world.guard.silent(owed, 8 * SECOND)),
+        (Rule.OWED_AT_EXIT, lambda world, owed: world.guard.process_ends(owed)),
+    ],
+)
 def test_what_happened_all_the_same_is_counted_told_and_logged_with_the_id(
-        rule: Rule, happens: Callable[[World, Obligation], None], caplog: pytest.LogCaptureFixture) -> None:
+    rule: Rule, happens: Callable[[World, Obligation], None], caplog: pytest.LogCaptureFixture
+) -> None:
     world = World()
     happens(world, world.open())
     assert world.invariants.violations == {rule: 1} and world.invariants.summary() == f"1 {rule.value}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,16 @@
 from typer.testing import CliRunner
 
 from scaledeal.cli.lab import app
-from scaledeal.lab.soak.history import Attempt, ClosedBy, Ending, History, ListWritten, Request, StateChange, Stuck
+from scaledeal.lab.soak.history import (
+    Attempt,
+    ClosedBy,
+    Ending,
+    History,
+    ListWritten,
+    Request,
+    StalledClient,
+    StateChange,
+)
 from scaledeal.lab.soak.oracle import Judge, Rule
 from scaledeal.lab.soak.plan import LEAST, MOST, Event, Fault, Plan, draw
 from scaledeal.lab.soak.run import run
@@ -32,11 +41,25 @@
 def sound() -> History:
     """Return one request that came up at its second attempt, and was moved in the end."""
     history = History(ended=100.0)
-    history.requests.append(Request("r", CLASS["repeatable"], "n0", 1, 1.0, sent=10.0, answered=10.3, answer="UP s1-1",
-                                    closed=20.0, closed_by=ClosedBy.RELAY, last_line="MOVE"))
+    history.requests.append(
+        Request(
+            "r",
+            CLASS["repeatable"],
+            "n0",
+            1,
+            1.0,
+            sent=10.0,
+            answered=10.3,
+            answer="UP s1-1",
+            closed=20.0,
+            closed_by=ClosedBy.RELAY,
+            last_line="MOVE",
+        )
+    )
     history.attempts += [
         Attempt("r", "n0", 1, "s0", 0, 10.01, 10.01, answered=10.1, answer="BUSY", server_ended=10.1, relay_ended=10.1),
-        Attempt("r", "n0", 1, "s1", 0, 10.2, 10.2, answered=10.29, answer="UP s1-1", relay_ended=20.0)]
+        Attempt("r", "n0", 1, "s1", 0, 10.2, 10.2, answered=10.29, answer="UP s1-1", relay_ended=20.0),
+    ]
     history.changes.append(StateChange("s1", "leaving", 30.0, 5))
     history.lists.append(ListWritten("n0", 1, 30.01, 5))
     history.endings.append(Ending("n0", 1, 60.0, None, 0))
@@ -70,19 +93,29 @@
     (Rule.AFTER_ANSWER, lambda h: request(h, answered=10.05, answer="ERR")),
     (Rule.SECOND_COPY, lambda h: attempt(h, 0, answered=None, answer="", server_ended=None, relay_ended=10.25)),
     (Rule.RAN_TWICE, lambda h: (request(h, request_class=CLASS["once"]), attempt(h, 0, answer="ERR"))[0]),
-    (Rule.RAN_TWICE, lambda h: (request(h, request_class=CLASS["by_key"]),
-                                attempt(h, 0, answer="ERR", first_byte=7.0, cell=1))[0]),
-    (Rule.UNSAFE_REFUSAL, lambda h: (request(h, request_class=CLASS["once"], answer="BUSY", answered=10.2),
-                                     attempt(h, 0, answer="ERR"), h.attempts.pop())[0]),
+    (
+        Rule.RAN_TWICE,
+        lambda h: (request(h, request_class=CLASS["by_key"]), attempt(h, 0, answer="ERR", first_byte=7.0, cell=1))[0],
+    ),
+    (
+        Rule.UNSAFE_REFUSAL,
+        lambda h: (
+            request(h, request_class=CLASS["once"], answer="BUSY", answered=10.2),
+            attempt(h, 0, answer="ERR"),
+            h.attempts.pop(),
+        )[0],
+    ),
     (Rule.DRAINING, lambda h: attempt(h, 1, first_byte=31.3, whole=31.3)),
     (Rule.SLOW_START, crowd_at_a_cold_server),
     (Rule.STALLED, lambda h: request(h, asked_since=12.5)),
     (Rule.STALLED, lambda h: request(h, longest_wait=7.5)),
     (Rule.CUT, lambda h: request(h, last_line="M 4")),
     (Rule.END_HELD_BACK, lambda h: attempt(h, 1, server_ended=18.0)),
-    (Rule.HELD_AT_KILL, lambda h: (request(h, closed=64.0),
-                                   h.endings.__setitem__(0, Ending("n0", 1, 60.0, 63.7, -9)))[0]),
-    (Rule.STUCK, lambda h: h.stuck.append(Stuck("n0", 1, 12.0, 3.4))),
+    (
+        Rule.HELD_AT_KILL,
+        lambda h: (request(h, closed=64.0), h.endings.__setitem__(0, Ending("n0", 1, 60.0, 63.7, -9)))[0],
+    ),
+    (Rule.STALLED_CLIENT, lambda h: h.stalled_clients.append(StalledClient("n0", 1, 12.0, 3.4))),
     (Rule.CRASH, lambda h: h.endings.__setitem__(0, Ending("n0", 1, None, None, 1))),
     (Rule.CRASH, lambda h: h.endings.__setitem__(0, Ending("n0", 1, 60.0, None, 1))),
     (Rule.CRASH, lambda h: h.endings.__setitem__(0, Ending("n0", 1, 60.0, None, -15))),
