--- a/scaledeal/__main__.py
+++ b/scaledeal/__main__.py
@@ -15,6 +15,7 @@
 from scaledeal.net.monotonic_reactor import install
 from scaledeal.net.relay import Relay
 
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 READ_TRIES = 40  # tries of a configuration that can't be read now
 READ_PAUSE = 0.05  # seconds between two of them
 
@@ -39,6 +40,10 @@
     gc.collect()
     gc.freeze()
     reactor.run(installSignalHandlers=False)  # Twisted's own SIGTERM would end the program at once
+    # Guards against a signal that comes as Python ends and gives its handlers up: it would kill the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    for number in SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
     return _refused(relay.failure) if relay.failure else 0
 
 
