Force the signals of a process's end in a bounded row

The test sent three signals before Python gave its handlers up, and passed without the change it guards; it now sends one every 2 ms until the process is gone, 1,000 at most.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -7,13 +7,15 @@
 import socket
 import subprocess
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
 from netfakes import SITE
 from test_relay_process import PATIENCE, ROOT
 
-SERIES = 3  # signals; an endless row would leave the process no time to end
+SERIES = 1000  # signals at most
+APART = 0.002  # seconds between two: in a row without a pause the process has no time left to end
 
 
 def start(folder: Path) -> subprocess.Popen[str]:
@@ -47,6 +49,9 @@
     log_until(process, "stopped:")
     for _ in range(SERIES):
         process.send_signal(number)
+        with suppress(subprocess.TimeoutExpired):
+            process.wait(APART)
+            break
     assert process.wait(PATIENCE) == 0
 
 
