--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -142,10 +142,22 @@
     unanswered(history)
     history.endings[0] = Ending("n0", 1, None, 10.9, -9)
     assert Judge(PLAN, history).violations() == [] and not Judge(PLAN, history).void()
-    history.worst_lag = 0.4
+    history.worst_lag = 1.2
     assert "too slow a machine" in Judge(PLAN, history).void()
 
 
+def test_a_driver_that_was_late_judges_with_wider_limits_and_still_finds_what_was_lost() -> None:
+    history = sound()
+    request(history, answered=11.9)
+    history.worst_lag = 0.4
+    assert Judge(PLAN, history).violations() == [] and not Judge(PLAN, history).void()
+    history.worst_lag = 0.2
+    assert [violation.rule for violation in Judge(PLAN, history).violations()] == [Rule.LOST]
+    unanswered(history)
+    history.worst_lag = 0.4
+    assert [violation.rule for violation in Judge(PLAN, history).violations()] == [Rule.LOST]
+
+
 def play(plan: Plan, folder: Path, *program: str) -> dict[Rule, int]:
     try:
         result = run(plan, folder, program) if program else run(plan, folder)
