--- a/review/rig.py
+++ b/review/rig.py
@@ -137,7 +137,7 @@
         self.name, self.zone, self.group, self.record = name, zone, group, record
         self.address = ""
         self.status = "active"
-        self.opens: list[tuple[float, str]] = []  # when a first line came whole, and its id
+        self.runs: list[tuple[str, float, float]] = []  # ids that were brought up, from when until when (0: still)
         self.died_at = 0.0
         self.process: asyncio.subprocess.Process
 
@@ -158,8 +158,13 @@
         assert self.process.stdout is not None
         while text := await self.process.stdout.readline():
             event = json.loads(text)
-            if event["event"] == "open":
-                self.opens.append((event["at"], event["id"]))
+            if event["event"] == "up":
+                self.runs.append((event["id"], event["at"], 0.0))
+            elif event["event"] == "over":
+                self.runs = [
+                    (identity, begun, event["at"] if identity == event["id"] and not ended else ended)
+                    for identity, begun, ended in self.runs
+                ]
             self.record(f"{self.name}: {text.decode().strip()}", event["at"])
 
     def say(self, word: str) -> None:
@@ -326,10 +331,21 @@
 class Client(asyncio.Protocol):
     """A usual client: one connection, a line every 2 s once it is up."""
 
-    def __init__(self, number: int, record: Record, request_class: str = "browse", wait_ms: int = 3000) -> None:
-        self.id, self.record, self.wait_ms = f"{number:016x}", record, wait_ms
-        self.open_line = f"OPEN {self.id} {number * 2654435761 % 2**64:016x} c={request_class},d={wait_ms}"
-        self.open_line += f",g={number * 40503 % 2**64:016x}"
+    def __init__(
+        self,
+        number: int,
+        record: Record,
+        request_class: str = "browse",
+        wait_ms: int = 3000,
+        identity: str = "",
+        open_line: str = "",
+    ) -> None:
+        """Make a client; a bad one is given another's ``identity`` and an ``open_line`` with it."""
+        self.id, self.record, self.wait_ms = identity or f"{number:016x}", record, wait_ms
+        self.open_line = open_line or (
+            f"OPEN {self.id} {number * 2654435761 % 2**64:016x}"
+            f" c={request_class},d={wait_ms},g={number * 40503 % 2**64:016x}"
+        )
         self.partial = b""
         self.sent_at = 0.0  # when the first line was sent
         self.answer, self.answered_at = "", 0.0
--- a/review/tile_server.py
+++ b/review/tile_server.py
@@ -78,10 +78,11 @@
         elif line.startswith(b"OPEN ") and len(line.split(b" ")) == 4:
             identity = line.split(b" ")[1].decode()
             self.server.tell("open", id=identity, line=line.decode(), draining=self.server.draining)
-            if self.server.draining:
+            if self.server.draining or any(each.id == identity for each in self.server.established):
                 self.end(b"BUSY")
                 return
             self.id = identity
+            self.server.tell("up", id=identity)
             self.server.established.add(self)
             self.server.receipts += 1
             self.transport.write(b"UP %s-%d\r\n" % (self.server.name.encode(), self.server.receipts))
