--- a/review/rig.py
+++ b/review/rig.py
@@ -14,7 +14,6 @@
 import re
 import signal
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -197,7 +196,7 @@
 
 
 class Discovery:
-    """Discovery over HTTP/1.1, with watches; it can go down and come back."""
+    """Discovery over HTTP/1.1, with watches."""
 
     def __init__(self, servers: list[TileServer], record: Record) -> None:
         self.servers, self.record = servers, record
@@ -205,7 +204,6 @@
         self.changed = {server.name: 41 for server in servers}
         self.news = asyncio.Event()
         self.connections: set[asyncio.StreamWriter] = set()
-        self.told: list[tuple[float, str, str]] = []  # when written, the server and its status
         self.listener: asyncio.Server | None = None
         self.port = 0
 
@@ -215,19 +213,11 @@
         return f"127.0.0.1:{self.port}"
 
     async def open(self) -> None:
-        """Listen, on the same port after an outage."""
-        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        """Listen on a free port."""
+        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self.listener.sockets[0].getsockname()[1]
         self.record("discovery: up")
 
-    def down(self) -> None:
-        """Go down: watches end, and calls are refused."""
-        assert self.listener is not None
-        self.listener.close()
-        for writer in list(self.connections):
-            writer.transport.abort()
-        self.record("discovery: down")
-
     def change(self, server: TileServer, status: str) -> None:
         """Change a server's status, or list a new one."""
         if server not in self.servers:
@@ -257,7 +247,6 @@
                 body = json.dumps(document).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
                 told = {entry["name"]: entry["status"] for entry in document["endpoints"]}
-                self.told += [(time.monotonic(), name, status) for name, status in told.items()]
                 self.record(f"discovery: answers {call[0].decode().strip()} with {document['index']}, {told}")
         self.connections.discard(writer)
         writer.close()
@@ -428,11 +417,6 @@
             self.over, self.over_at = how, time.monotonic()
             self.record(f"client {self.id}: connection {how}, answer {self.answer!r}, moved {self.moved}")
 
-    def leave(self) -> None:
-        """End the connection in order."""
-        if self.transport is not None and not self.over:
-            self.transport.write_eof()
-
     @property
     def up(self) -> bool:
         """Whether it was brought up."""
@@ -518,11 +502,6 @@
         self.temporary.cleanup()
 
 
-def reset_on_close(sock: socket.socket) -> None:
-    """Have a socket's connection reset when it is closed."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-
-
 def main(folder: Path, play: Callable[[Rig], Any], limit: float = 110.0) -> int:
     """Play a case; ``play`` returns the breaches of the rule. Return the exit code."""
     rig: Rig | None = None
--- a/review/tile_server.py
+++ b/review/tile_server.py
@@ -1,9 +1,9 @@
 """A stand-in for a tile server in a process of its own: ``python review/tile_server.py NAME``.
 
 It prints one JSON object a line: first its port, then what it received and when, on the monotonic clock. It answers
-probes, brings each connection up at once, and returns every line at once. Words on standard input change what it does:
-``drain`` sends all clients away (MOVE) and turns new ones away (BUSY). When the process dies, its connections are
-reset, as the protocol page says of a process that dies.
+probes, brings each connection up at once, and returns every line at once; an id that is up here already is turned away.
+``spoil DIGITS`` on standard input puts digits before the number of requests in its next report. When the process dies,
+its connections are reset, as the protocol page says of a process that dies.
 """
 
 from __future__ import annotations
@@ -24,7 +24,6 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
-        self.draining = False
         self.established: set[Connection] = set()
         self.receipts = 0
         self.spoilt = b""  # digits that stand before the next report's ``inflight``
@@ -33,13 +32,6 @@
         """Print one event."""
         print(json.dumps({"at": time.monotonic(), "event": event, **values}), flush=True)
 
-    def drain(self) -> None:
-        """Send all clients away at once, and turn new ones away from now on."""
-        self.draining = True
-        self.tell("drains", connections=len(self.established))
-        for connection in list(self.established):
-            connection.end(b"MOVE")
-
 
 class Connection(asyncio.Protocol):
     """One connection from a relay."""
@@ -82,8 +74,8 @@
             self.transport.write(b"PONG" + report + b"\r\n")
         elif line.startswith(b"OPEN ") and len(line.split(b" ")) == 4:
             identity = line.split(b" ")[1].decode()
-            self.server.tell("open", id=identity, line=line.decode(), draining=self.server.draining)
-            if self.server.draining or any(each.id == identity for each in self.server.established):
+            self.server.tell("open", id=identity, line=line.decode())
+            if any(each.id == identity for each in self.server.established):
                 self.end(b"BUSY")
                 return
             self.id = identity
@@ -124,9 +116,7 @@
     reader = asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     while word := (await reader.readline()).strip():
-        if word == b"drain":
-            server.drain()
-        elif word.startswith(b"spoil "):
+        if word.startswith(b"spoil "):
             server.spoilt = word.partition(b" ")[2]
 
 
