--- a/scaledeal/cold_start.py
+++ b/scaledeal/cold_start.py
@@ -12,10 +12,12 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from scaledeal.interface import Settings
+from scaledeal.estimates import CapacityEstimate, PooledRatio
+from scaledeal.interface import Field, Settings
 
 SECOND = 1_000_000_000
 TARGET_BUDGET_SHARE = 0.9  # share of the budget that is used on average while a crowd arrives
@@ -25,18 +27,46 @@
 MIN_UTILISATION = 0.25  # utilisation that each server is assumed to have at least
 MAX_UTILISATION = 2.0  # and at most: more than that is a backlog, not connections
 LOAD_MEMORY_NS = 8 * SECOND  # how long a past fleet load counts: servers may have died while their clients have not
-CAPACITY_SAMPLES = 20  # number of reports that the mean capacity is taken over
+MIN_REPORTS = 3  # reports from which a capacity is taken: fewer do not show which of them is wrong
 MIN_INFORMATIVE_UTILISATION = 0.05  # a report under this says nothing about capacity
 MAX_PLAUSIBLE_UTILISATION = 100.0  # a report above this is invalid
 
 
+@dataclass(slots=True)
+class SlotBatch:
+    """Slots that have opened between two counts, at one rate."""
+
+    size: int
+    rate: float  # slots per nanosecond
+    last_end: int  # end of the last slot to open
+
+    def discard_lapsed(self, now: int) -> None:
+        """Remove the slots that have lapsed by now."""
+        self.size = max(0, min(self.size, math.ceil((self.last_end - now) * self.rate)))
+
+
 @dataclass(slots=True)
 class Slots:
     """The slots of one relay at one cold server."""
 
-    count: float = 0.0  # slots opened so far, with the fraction of the next one
-    counted_at: int = 0  # time of that count
-    open_until: list[int] = field(default_factory=list)  # end of each open slot
+    next_part: float = 0.0  # share of the next slot's interval that has passed, below 1
+    counted_at: int = 0  # time of the last count
+    open_batches: deque[SlotBatch] = field(default_factory=deque)  # the oldest first
+
+    def use_oldest(self) -> None:
+        """Use the slot that has been open longest, if one is open."""
+        if self.open_batches:
+            self.open_batches[0].size -= 1
+            if not self.open_batches[0].size:
+                self.open_batches.popleft()
+
+    def discard_lapsed(self, now: int) -> None:
+        """Remove the slots that have lapsed by now."""
+        while self.open_batches:
+            self.open_batches[0].discard_lapsed(now)
+            if self.open_batches[0].size:
+                break
+            self.open_batches.popleft()
 
 
 class ColdStart:
@@ -48,8 +78,10 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.window = settings.overload_window or SECOND
-        # Means over the reports of warm servers: connections for weight 1, and utilisation.
-        self.report_count, self.mean_connections, self.mean_utilisation = 0, 0.0, 0.0
+        self.slot_open_time = int(SLOT_OPEN_WINDOWS * self.window)
+        # From the reports of warm servers: the connections that fill a server of weight 1, or 0 while unknown.
+        self.connections_when_full, self.report_count = 0.0, 0
+        self._reported_capacity, self._own_capacity = CapacityEstimate(), PooledRatio()
         # The fleet's load as last remembered, in capacities; and that load over the fleet's capacity.
         self.fleet_load = self.fleet_utilisation = 0.0
         self.used_share = 1.0  # share of its slots that this relay uses in a crowd; 1 until loads are known
@@ -59,12 +91,18 @@
         s, age = self.settings, max(0, age)  # a start that lies in the future counts as age 0
         return s.cold_share + (1 - s.cold_share) * age / s.warm_after if age < s.warm_after else 1.0
 
-    def record_report(self, weight: float, connections: float, utilisation: float) -> None:
+    def record_report(self, server: str, weight: float, connections: float, utilisation: float) -> None:
         """Update the estimate of how many connections fill a server from the report of a warm one."""
-        if utilisation > MIN_INFORMATIVE_UTILISATION and 0 <= connections < math.inf:
-            self.report_count = min(self.report_count + 1, CAPACITY_SAMPLES)
-            self.mean_connections += (connections / weight - self.mean_connections) / self.report_count
-            self.mean_utilisation += (utilisation - self.mean_utilisation) / self.report_count
+        if utilisation <= MIN_INFORMATIVE_UTILISATION or not 0 <= connections / weight / utilisation < math.inf:
+            return
+        self.report_count += 1
+        if Field.INFLIGHT in self.settings.report_fields:
+            self._reported_capacity.record(server, connections / weight / utilisation)
+            capacity = self._reported_capacity.fleet
+        else:
+            capacity = self._own_capacity.record(connections / weight, utilisation)
+        if self.report_count >= MIN_REPORTS:
+            self.connections_when_full = capacity
 
     def update_load(self, elapsed: int, servers: Iterable[tuple[float, float | None]]) -> None:
         """Update the fleet's load from each server's capacity and utilisation, ``elapsed`` after the last update.
@@ -79,8 +117,8 @@
         self.fleet_load = max(load, self.fleet_load * max(0.0, 1 - elapsed / LOAD_MEMORY_NS))
         self.fleet_utilisation = load / max(1e-9, sum(c for c, _ in listed))
         crowd = (
-            CROWD_SHARE * max(1.0, self.fleet_load * self.mean_connections / self.mean_utilisation)
-            if self.mean_utilisation
+            CROWD_SHARE * max(1.0, self.fleet_load * self.connections_when_full)
+            if self.report_count >= MIN_REPORTS
             else math.inf
         )
         # With that many clients spread at random over the relays, this share of the relays gets at least one.
@@ -92,11 +130,7 @@
         The budget is at least one set-up a window of all relays together, which any server can take.
         """
         s = self.settings
-        connections_when_full = (
-            self.mean_connections / self.mean_utilisation / (1 - GROUP_LOAD_SHARE * s.groups)
-            if self.mean_utilisation
-            else 0.0
-        )
+        connections_when_full = self.connections_when_full / (1 - GROUP_LOAD_SHARE * s.groups)
         budget = s.overload_factor * connections_when_full * capacity * self.window / s.warm_after
         return max(1.0, TARGET_BUDGET_SHARE * budget) / (
             s.siblings * self.used_share * (1 + SLOT_OPEN_WINDOWS) * self.window
@@ -107,19 +141,20 @@
         return Slots((server_digest / 2**64 + self.settings.me / self.settings.siblings) % 1, now)
 
     def has_open_slot(self, now: int, slots: Slots, capacity: float) -> bool:
-        """Bring the slots up to ``now`` and tell whether one is open; unused earlier ones have lapsed."""
-        span, open_time, rate = (
-            now - slots.counted_at,
-            int(SLOT_OPEN_WINDOWS * self.window),
-            self.slot_rate(capacity),
-        )
-        before = slots.count + rate * max(0, span - open_time)
-        slots.count, slots.counted_at = before + rate * min(span, open_time), now
-        opened = range(math.floor(before) + 1, math.floor(slots.count) + 1)
-        slots.open_until = [until for until in slots.open_until if until > now]
-        slots.open_until += [now + open_time - int((slots.count - number) / rate) for number in opened]
-        return bool(slots.open_until)
+        """Bring the slots up to ``now`` and tell whether one is open; unused earlier ones have lapsed.
+
+        The time that this takes does not depend on how many slots there are.
+        """
+        span, open_time, rate = now - slots.counted_at, self.slot_open_time, self.slot_rate(capacity)
+        slots.counted_at = now
+        slots.discard_lapsed(now)
+        already_lapsed = rate * max(0, span - open_time)
+        opened, slots.next_part = divmod((slots.next_part + already_lapsed) % 1 + rate * min(span, open_time), 1)
+        if opened:
+            last_end = now + open_time - int(slots.next_part / rate)
+            slots.open_batches.append(SlotBatch(int(opened), rate, last_end))
+        return bool(slots.open_batches)
 
     def time_to_next_slot(self, slots: Slots, capacity: float) -> int:
         """Return the nanoseconds until the next slot opens, from the time of the last count."""
-        return int((math.floor(slots.count) + 1 - slots.count) / self.slot_rate(capacity)) + 1
+        return int((1 - slots.next_part) / self.slot_rate(capacity)) + 1
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -16,7 +16,8 @@
 from typing import Any
 
 from scaledeal import interface as api
-from scaledeal.cold_start import MAX_PLAUSIBLE_UTILISATION, ColdStart, Slots
+from scaledeal.cold_start import MAX_PLAUSIBLE_UTILISATION, MIN_INFORMATIVE_UTILISATION, ColdStart, Slots
+from scaledeal.estimates import CapacityEstimate
 
 # In nanoseconds
 MS = 1_000_000
@@ -42,6 +43,11 @@
 SLOW_LOAD_SHARE = 0.9  # without reports: share of the load at which a server turned slow that it may hold
 UNREPORTED_GROUP_CONNECTIONS = 6.0  # connections of a group that stay together before the first reports
 
+# Reports
+SUDDEN_OVERLOAD = 2.0  # utilisation above which a report needs a second one that confirms it,
+SUDDEN_OVERLOAD_FACTOR = 4.0  # if it is also above this multiple of what was known
+CONFIRMING_FACTOR = 2.0  # by which two reports that confirm each other may differ at most
+
 # Health
 SUSPECT_BACK_OFF_NS = SECOND  # how long a server is avoided after its first failure
 SUSPECT_BACK_OFF_DOUBLINGS = 3  # how often that time doubles
@@ -144,6 +150,7 @@
     pending: int = 0  # set-ups under way
     known_load: float = 0.0  # sum of the known loads of its connections
     reported_utilisation: float = -1.0  # in the last report; negative if there is none
+    unconfirmed_utilisation: float = 0.0  # a sudden overload that the last report showed and none before it; else 0
     reported_at: int = 0
     load_at_report: float = 0.0  # this relay's load on it at the time that the last report describes
     past_loads: list[float] = field(default_factory=list)  # this relay's load on it at the last ticks, oldest first
@@ -294,6 +301,7 @@
         self.next_step_at = self.next_watch_at = self.watch_failures = self.slot_timer_at = 0
         # Utilisation up to which a server keeps its groups; capacity for weight 1, in units of load
         self.group_max_utilisation, self.unit_capacity = GROUP_MAX_UTILISATION, 0.0
+        self.capacities = CapacityEstimate()  # in connections of mean load
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Process one event and return the actions to carry out, in order.
@@ -347,7 +355,7 @@
             server.next_probe_at = self.now + (self.now > self.started) * int(PROBE_INTERVAL_NS * self.random.random())
         if entry.started > server.started:  # a new process: observations of the old one are void
             server.failures = server.suspect_until = server.saturated_since = server.assumed_draining_until = 0
-            server.reported_utilisation, server.message_delay_ms = -1.0, 0.0
+            server.reported_utilisation, server.unconfirmed_utilisation, server.message_delay_ms = -1.0, 0.0, 0.0
         if entry.state is api.ServerState.DRAINING and server.connections:
             self.draining.setdefault(server, self.now)
         server.state, server.started = entry.state, max(server.started, entry.started)
@@ -407,23 +415,40 @@
         value = report.get(api.Field.UTILISATION, report.get(api.Field.BUSY))
         if value is None or not 0 <= value <= MAX_PLAUSIBLE_UTILISATION:
             return
+        if self._needs_confirmation(server, value):
+            self._probe([server])
+            return
         server.reported_utilisation, server.reported_at = value, self.now
         self.tracked[server.id] = server
         # A report describes the load at the time when it was made, before anything that was moved since.
         server.load_at_report = server.past_loads[0] if server.past_loads else self._own_load(server)
+        if not self.is_cold(server) and value > MIN_INFORMATIVE_UTILISATION:
+            self._learn_capacity(server, value, report.get(api.Field.INFLIGHT))
+
+    def _needs_confirmation(self, server: Server, value: float) -> bool:
+        """Tell whether a report may be wrong: it shows a sudden overload, and no report before it showed the same."""
+        # Acting on a wrong one would move the clients of a sound server.
+        before, server.unconfirmed_utilisation = server.unconfirmed_utilisation, 0.0
+        sudden = value > max(SUDDEN_OVERLOAD, SUDDEN_OVERLOAD_FACTOR * (self.utilisation(server) or 0.0))
+        if not sudden or value / CONFIRMING_FACTOR <= before <= value * CONFIRMING_FACTOR:
+            return False
+        server.unconfirmed_utilisation = value
+        return True
+
+    def _learn_capacity(self, server: Server, utilisation: float, inflight: float | None) -> None:
+        """Update the capacities from the report of a warm server; ``inflight`` is None if it counts no connections."""
         # Where reports count no connections, assume that each other relay's load equals this one's: without that no
         # capacity would be learned from them.
-        all_relays_load = self._own_load(server) * self.settings.siblings
-        load = report[api.Field.INFLIGHT] * self._mean_load() if api.Field.INFLIGHT in report else all_relays_load
-        if not self.is_cold(server):
-            count = report.get(api.Field.INFLIGHT, len(server.connections) * self.settings.siblings)
-            self.cold_start.record_report(server.weight, count, value)
-        # Learn only once a load is known: until then each connection counts as 1, and the capacity would be in another
-        # unit than the loads that come later.
-        if value > 0.05 and load and any(self.load_count) and not self.is_cold(server):
-            unit = load / value / server.weight
-            self.unit_capacity += (unit - self.unit_capacity) * (0.05 if self.unit_capacity else 1.0)
-            server.unit_capacity += (unit - server.unit_capacity) * (0.1 if server.unit_capacity else 1.0)
+        siblings, mean_load = self.settings.siblings, self._mean_load()
+        count = len(server.connections) * siblings if inflight is None else inflight
+        self.cold_start.record_report(server.id, server.weight, count, utilisation)
+        # Learn only once a load is known: until then each connection counts as 1, and a connection of mean load would
+        # be another than the one that is meant later.
+        load_in_connections = self._own_load(server) * siblings / mean_load if inflight is None else inflight
+        if load_in_connections and any(self.load_count):
+            capacity = self.capacities.record(server.id, load_in_connections / utilisation / server.weight)
+            server.unit_capacity = capacity * mean_load
+            self.unit_capacity = self.capacities.fleet * mean_load
 
     def _on_note(self, event: api.Note) -> None:
         request, server = self.requests.get(event.request), self.servers.get(event.server)
@@ -695,7 +720,7 @@
         server.pending += 1
         self.pending += 1
         self._attach(server, request)
-        del server.slots.open_until[:1]
+        server.slots.use_oldest()
         self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_SHARE)
         self.actions.append(api.Send(request.id, server.id, max(1, timeout)))
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -14,7 +14,7 @@
 from driver import BASE, MS, SECOND, ClientRequest, Driver, SentAttempt
 
 from scaledeal import interface as api
-from scaledeal.cold_start import ColdStart, Slots
+from scaledeal.cold_start import ColdStart
 
 FULL_SERVER_CONNECTIONS = 100.0  # connections that fill a server
 WARM_UTILISATION = 0.7
@@ -180,7 +180,7 @@
     balancer = mass_return.drivers[0].balancer
     before = (
         balancer.servers["s0"].reported_utilisation,
-        balancer.cold_start.mean_connections,
+        balancer.cold_start.connections_when_full,
         balancer.unit_capacity,
         balancer.load_sum[:],
     )
@@ -189,7 +189,7 @@
         mass_return.drivers[0].event(api.Note("old", 0, "s0", api.NoteKind.LOAD, reported))
     assert before == (
         balancer.servers["s0"].reported_utilisation,
-        balancer.cold_start.mean_connections,
+        balancer.cold_start.connections_when_full,
         balancer.unit_capacity,
         balancer.load_sum,
     )
@@ -236,11 +236,9 @@
 class SlotsKeptOpen(ColdStart):
     """Unused slots stay open for 9 s instead of lapsing."""
 
-    def has_open_slot(self, now: int, slots: Slots, capacity: float) -> bool:
-        before, slots.count = slots.count, slots.count + self.slot_rate(capacity) * (now - slots.counted_at)
-        slots.counted_at = now
-        slots.open_until += [now + 9 * SECOND] * (math.floor(slots.count) - math.floor(before))
-        return bool(slots.open_until)
+    def __init__(self, settings: api.Settings) -> None:
+        super().__init__(settings)
+        self.slot_open_time = 9 * SECOND
 
 
 @pytest.mark.parametrize(
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,9 +6,11 @@
 import pytest
 
 PACKAGE = Path(__file__).parent.parent / "scaledeal"
-DECISION_MODULES = ("policy.py", "cold_start.py", "interface.py")
+DECISION_MODULES = ("policy.py", "cold_start.py", "estimates.py", "interface.py")
 PURE_IMPORTS = {
     "__future__",
+    "bisect",
+    "collections",
     "collections.abc",
     "dataclasses",
     "enum",
@@ -18,7 +20,9 @@
     "random",
     "scaledeal",
     "scaledeal.cold_start",
+    "scaledeal.estimates",
     "scaledeal.interface",
+    "statistics",
     "typing",
 }
 IMPURE_BUILTINS = {"open", "print", "input", "exec", "eval", "__import__"}
