--- a/scaledeal/estimates.py
+++ b/scaledeal/estimates.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import math
+import statistics
+from bisect import bisect_left, bisect_right, insort
 from collections import OrderedDict, deque
 from collections.abc import Collection
 
@@ -15,6 +17,9 @@
 REPORTS_PER_SERVER = 10  # latest reports of a server that count
 MAX_SERVERS = 40  # latest servers to report that count for the fleet
 POOLED_REPORTS = 64  # latest reports of all servers, where they count no connections
+LOADS_PER_CLASS = 256  # latest loads of a class that count
+MIN_LOADS = 5  # fewer loads do not show which of them is wrong
+IMPLAUSIBLE_LOAD_FACTOR = 30.0  # a load above this multiple of its class's median is wrong
 
 
 def weighted_median(values: Collection[tuple[float, float]]) -> float:
@@ -68,3 +73,45 @@
         extreme = (len(self._reports) + 1) // 4
         middle = sorted(self._reports)[extreme : len(self._reports) - extreme]
         return sum(n for _, n in middle) / sum(d for d, _ in middle)
+
+
+class LoadEstimate:
+    """The mean load of a connection, by class, and which loads can't be right."""
+
+    def __init__(self, classes: int) -> None:
+        self._latest = [deque[float]() for _ in range(classes)]
+        self._sorted: list[list[float]] = [[] for _ in range(classes)]
+        self._means = [0.0] * classes
+        self.count = 0  # loads recorded so far
+
+    def record(self, cls: int, load: float) -> None:
+        """Take in the load of a connection of a class."""
+        latest, ordered = self._latest[cls], self._sorted[cls]
+        if len(latest) == LOADS_PER_CLASS:
+            del ordered[bisect_left(ordered, latest.popleft())]
+        latest.append(load)
+        insort(ordered, load)
+        plausible = ordered[: bisect_right(ordered, self._limit(cls))]
+        self._means[cls] = sum(plausible) / len(plausible)
+        self.count += 1
+
+    def is_plausible(self, cls: int, load: float) -> bool:
+        """Tell whether a load can be right beside those of its class, or of all classes while that has few."""
+        known = [cls] if len(self._sorted[cls]) >= MIN_LOADS else range(len(self._sorted))
+        if sum(len(self._sorted[each]) for each in known) < MIN_LOADS:
+            return True
+        return load <= max(self._limit(each) for each in known if self._sorted[each])
+
+    def mean(self, cls: int) -> float:
+        """Return the mean load of a class; that of all classes while it is unknown, and 1 without any load."""
+        return self._means[cls] or self.overall_mean()
+
+    def overall_mean(self) -> float:
+        """Return the mean load over all classes, weighted by their loads recorded; 1 without any."""
+        if not self.count:
+            return 1.0
+        counts = [len(latest) for latest in self._latest]
+        return sum(mean * count for mean, count in zip(self._means, counts, strict=True)) / sum(counts)
+
+    def _limit(self, cls: int) -> float:
+        return IMPLAUSIBLE_LOAD_FACTOR * statistics.median_low(self._sorted[cls])
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -17,7 +17,7 @@
 
 from scaledeal import interface as api
 from scaledeal.cold_start import MAX_PLAUSIBLE_UTILISATION, MIN_INFORMATIVE_UTILISATION, ColdStart, Slots
-from scaledeal.estimates import CapacityEstimate
+from scaledeal.estimates import MIN_LOADS, CapacityEstimate, LoadEstimate
 
 # In nanoseconds
 MS = 1_000_000
@@ -290,8 +290,8 @@
             settings.report_source is not api.Source.NONE,
         )
         self.shortest_message_aim = min((c.message_aim for c in settings.classes if c.message_aim), default=math.inf)
-        # By class: sum and number of the first loads noted on connections
-        self.load_sum, self.load_count = ([zero] * len(settings.classes) for zero in (0.0, 0))
+        # The first loads noted on connections, and the loads that clients expect
+        self.loads, self.load_hints = LoadEstimate(len(settings.classes)), LoadEstimate(len(settings.classes))
         self.tenant_connections = [0] * max(1, len(settings.tenants))
         # How many retries and probes may be sent now
         self.retry_tokens, self.probe_tokens = RETRY_BURST, MAX_SAVED_PROBES * settings.may_probe
@@ -366,11 +366,11 @@
 
     def _class_load(self, cls: int) -> float:
         """Return the mean load of a connection of this class, or of any class while that is unknown."""
-        return self.load_sum[cls] / self.load_count[cls] if self.load_count[cls] else self._mean_load()
+        return self.loads.mean(cls)
 
     def _mean_load(self) -> float:
         """Return the mean load of a connection; 1 while no load is known."""
-        return sum(self.load_sum) / sum(self.load_count) if any(self.load_count) else 1.0
+        return self.loads.overall_mean()
 
     def _own_load(self, server: Server) -> float:
         """Return the load of this relay's connections to a server."""
@@ -445,7 +445,7 @@
         # Learn only once a load is known: until then each connection counts as 1, and a connection of mean load would
         # be another than the one that is meant later.
         load_in_connections = self._own_load(server) * siblings / mean_load if inflight is None else inflight
-        if load_in_connections and any(self.load_count):
+        if load_in_connections and self.loads.count:
             capacity = self.capacities.record(server.id, load_in_connections / utilisation / server.weight)
             server.unit_capacity = capacity * mean_load
             self.unit_capacity = self.capacities.fleet * mean_load
@@ -464,18 +464,60 @@
             server.slow_load = self._own_load(server) if event.amount >= server.message_delay_ms else server.slow_load
             server.message_delay_ms, server.message_delay_at = event.amount, self.now
             return
-        if not 0 < event.amount < math.inf:
-            return
-        first = not any(self.load_count)
+        if 0 < event.amount < math.inf:
+            self._record_load(server, request, event.amount)
+
+    def _record_load(self, server: Server, request: RequestState, load: float) -> None:
+        """Take in the load that a server noted on a connection; one that can't be right changes nothing."""
+        known_before = self.loads.count
         if not request.load:
-            server.unknown_loads[request.class_index] -= 1
-            self.load_sum[request.class_index] += event.amount
-            self.load_count[request.class_index] += 1
-        server.known_load += event.amount - request.load
-        request.load = event.amount
-        if first and any(self.load_count):
-            for known in self.servers.values():  # loads recorded so far counted each connection as 1
-                known.load_at_report, known.past_loads = self._own_load(known), []
+            self.loads.record(request.class_index, load)
+        if self._is_plausible_load(request.class_index, load):
+            self._set_load(server, request, load)
+        if not known_before and self.loads.count:
+            self._forget_past_loads()  # loads recorded so far counted each connection as 1
+        if known_before < MIN_LOADS == self.loads.count:
+            self._verify_loads()
+
+    def _plausible_hint(self, cls: int, hint: float) -> float:
+        """Return the load that a client expects of its connection; 0 if that can't be right."""
+        if not 0 < hint < math.inf:
+            return 0.0
+        self.load_hints.record(cls, hint)
+        if self.load_hints.count == MIN_LOADS:
+            self._verify_loads()
+        return hint if self._is_plausible_load(cls, hint) else 0.0
+
+    def _is_plausible_load(self, cls: int, load: float) -> bool:
+        estimate = self.loads if self.loads.count >= MIN_LOADS else self.load_hints
+        return estimate.is_plausible(cls, load)
+
+    def _set_load(self, server: Server, request: RequestState, load: float) -> None:
+        """Set the load of a connection at a server."""
+        server.unknown_loads[request.class_index] -= int(not request.load)
+        server.known_load += load - request.load
+        request.load = load
+
+    def _verify_loads(self) -> None:
+        """Take back the loads that can't be right, now that there are enough to tell."""
+        wrong = [
+            request
+            for request in self.requests.values()
+            if request.load and not self._is_plausible_load(request.class_index, request.load)
+        ]
+        for request in wrong:
+            request.load = 0.0
+            server = request.attempts[-1].server if request.attempts else None
+            if server is not None and request.id in server.connections:
+                server.unknown_loads[request.class_index] += 1
+                server.known_load = sum(each.load for each in server.connections.values())
+        if wrong:
+            self._forget_past_loads()
+
+    def _forget_past_loads(self) -> None:
+        """Compare the loads of servers from now on with the present ones: the earlier ones were in another unit."""
+        for server in self.servers.values():
+            server.load_at_report, server.past_loads = self._own_load(server), []
 
     # Health
 
@@ -626,7 +668,7 @@
             tenant,
             deadline,
             group,
-            load=event.load_hint,
+            load=self._plausible_hint(event.request_class, event.load_hint),
             arrived_at=self.now,
         )
         self.requests[request.id] = request
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -182,7 +182,7 @@
         balancer.servers["s0"].reported_utilisation,
         balancer.cold_start.connections_when_full,
         balancer.unit_capacity,
-        balancer.load_sum[:],
+        [balancer.loads.mean(cls) for cls in range(2)],
     )
     mass_return.drivers[0].event(api.ProbeResult("s0", api.Result.OK, MS, (reported, 10.0)))
     if not 0 < reported < math.inf:
@@ -191,7 +191,7 @@
         balancer.servers["s0"].reported_utilisation,
         balancer.cold_start.connections_when_full,
         balancer.unit_capacity,
-        balancer.load_sum,
+        [balancer.loads.mean(cls) for cls in range(2)],
     )
 
 
--- a/tests/test_wrong_values.py
+++ b/tests/test_wrong_values.py
@@ -152,6 +152,34 @@
     assert left == 8, "only those of the last 0.4 windows are open"
 
 
+@settings(max_examples=60, deadline=None)
+@given(position=st.integers(0, 29), factor=st.floats(40.0, 1e5))
+def test_one_wrong_load_of_a_connection_teaches_nothing(position, factor):
+    # One LOAD line set the mean load of a class, and its server's load, for as long as the connection lived.
+    fleet, sound = Fleet(COUNTED, 6, {position: factor}), Fleet(COUNTED, 6)
+    for each in (fleet, sound):
+        for number in range(12):
+            each.report(f"s{number % 6}")
+    assert_same(fleet.learned(), sound.learned())
+    for server in sound.balancer.servers:
+        loads = [each.balancer._own_load(each.balancer.servers[server]) for each in (fleet, sound)]
+        assert loads[0] == pytest.approx(loads[1], rel=TOLERANCE)
+
+
+@pytest.mark.parametrize("hints_before", [0, 2, 20])
+def test_one_wrong_hint_of_a_client_saturates_no_server(hints_before):
+    # A client that expects a load of 1e12 made its server look overloaded, so that the others' clients were moved.
+    driver = Driver(COUNTED, servers=4)
+    for number in range(hints_before + 30):
+        driver.arrive(f"r{number}", key=f"k{number}", load_hint=1e12 if number == hints_before else LOAD)
+        for name in driver.pending():
+            driver.establish(name)
+    driver.wait(2 * SECOND)
+    loads = [driver.balancer._own_load(server) for server in driver.balancer.servers.values()]
+    assert not driver.actions(api.Move)
+    assert max(loads) <= LOAD * (hints_before + 30)
+
+
 def test_a_sudden_overload_counts_once_a_second_report_confirms_it():
     # Digits before a utilisation moved the clients of a sound server away; a server that is overloaded says so again.
     fleet = Fleet(COUNTED, 4)
