--- a/scaledeal/estimates.py
+++ b/scaledeal/estimates.py
@@ -11,7 +11,7 @@
 import statistics
 from bisect import bisect_left, bisect_right, insort
 from collections import OrderedDict, deque
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 MIN_FOR_MEDIAN = 3  # fewer values do not show which of them is wrong
 REPORTS_PER_SERVER = 10  # latest reports of a server that count
@@ -20,6 +20,7 @@
 LOADS_PER_CLASS = 256  # latest loads of a class that count
 MIN_LOADS = 5  # fewer loads do not show which of them is wrong
 IMPLAUSIBLE_LOAD_FACTOR = 30.0  # a load above this multiple of its class's median is wrong
+IMPLAUSIBLE_WEIGHT_FACTOR = 100.0  # so is a weight that differs from the fleet's median by more than this factor
 
 
 def weighted_median(values: Collection[tuple[float, float]]) -> float:
@@ -115,3 +116,15 @@
 
     def _limit(self, cls: int) -> float:
         return IMPLAUSIBLE_LOAD_FACTOR * statistics.median_low(self._sorted[cls])
+
+
+def typical_weight(weights: Iterable[float]) -> float:
+    """Return the fleet's median weight; 0 if there are too few to tell."""
+    listed = list(weights)
+    return statistics.median_low(listed) if len(listed) >= MIN_FOR_MEDIAN else 0.0
+
+
+def is_plausible_weight(weight: float, typical: float) -> bool:
+    """Tell whether a weight can be right beside the fleet's median; ``typical`` is 0 if that can't be told."""
+    factor = IMPLAUSIBLE_WEIGHT_FACTOR
+    return not typical or typical / factor <= weight <= typical * factor
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -17,7 +17,7 @@
 
 from scaledeal import interface as api
 from scaledeal.cold_start import MAX_PLAUSIBLE_UTILISATION, MIN_INFORMATIVE_UTILISATION, ColdStart, Slots
-from scaledeal.estimates import MIN_LOADS, CapacityEstimate, LoadEstimate
+from scaledeal.estimates import MIN_LOADS, CapacityEstimate, LoadEstimate, is_plausible_weight, typical_weight
 
 # In nanoseconds
 MS = 1_000_000
@@ -144,7 +144,8 @@
     started: int = 0
     zone: int = 0
     cell: int = 0
-    weight: float = 1.0
+    listed_weight: float = 1.0
+    weight: float = 1.0  # as listed, unless that can't be right
     warmth: float = 1.0  # share of its capacity that it has at its age, at the last update
     connections: dict[str, RequestState] = field(default_factory=dict)  # open ones and set-ups under way
     pending: int = 0  # set-ups under way
@@ -267,6 +268,7 @@
         self.random = random.Random(seed)
         self.servers, self.live = dict[str, Server](), list[Server]()
         self.tracked: dict[str, Server] = {}  # servers with connections or reports, which a tick looks at
+        self.changed_weights = set[str]()  # servers whose listed weight was not looked at yet
         self.draining: dict[Server, int] = {}  # servers listed as draining while they held connections, and since when
         self.requests, self.held = dict[str, RequestState](), dict[str, RequestState]()
         self.actions: list[api.Action] = []
@@ -336,6 +338,8 @@
             self._update_server(entry)
         for gone in [s.id for s in self.servers.values() if s.state is api.ServerState.GONE and not s.connections]:
             del self.servers[gone]
+        if self.changed_weights:
+            self._update_weights()
         self.live = [s for s in self.servers.values() if s.state is api.ServerState.LIVE]
         self.min_set_up_limit = max(1.0, SET_UPS_PER_SERVER * len(self.live) / self.settings.siblings / 2)
         self.set_up_limit = self.set_up_limit or 2 * self.min_set_up_limit
@@ -351,6 +355,7 @@
         server = self.servers.get(entry.server)
         if server is None:
             server = self._add_server(entry.server)
+            self.changed_weights.add(entry.server)
             # At the start nothing is known of any server, so all are probed at once; later ones at a random time.
             server.next_probe_at = self.now + (self.now > self.started) * int(PROBE_INTERVAL_NS * self.random.random())
         if entry.started > server.started:  # a new process: observations of the old one are void
@@ -360,7 +365,21 @@
             self.draining.setdefault(server, self.now)
         server.state, server.started = entry.state, max(server.started, entry.started)
         server.zone, server.cell = entry.zone, entry.cell
-        server.weight = entry.weight if self.settings.fixed_weights and entry.weight > 0 else 1.0
+        if self.settings.fixed_weights and 0 < entry.weight < math.inf:
+            if entry.weight != server.listed_weight:
+                self.changed_weights.add(server.id)
+            server.listed_weight = entry.weight
+
+    def _update_weights(self) -> None:
+        """Give each server its listed weight; the fleet's median where the listed one can't be right."""
+        changed, self.changed_weights = self.changed_weights, set()
+        typical = typical_weight(s.listed_weight for s in self.servers.values())
+        for server in self.servers.values():
+            plausible = is_plausible_weight(server.listed_weight, typical)
+            server.weight = server.listed_weight if plausible else typical
+            if not plausible and server.id in changed:
+                ignored = f"server {server.id}: its weight {server.listed_weight:g} is ignored"
+                self.actions.append(api.Log(f"{ignored} beside the median of {typical:g}, which is used"))
 
     # Loads
 
--- a/tests/test_wrong_values.py
+++ b/tests/test_wrong_values.py
@@ -180,6 +180,38 @@
     assert max(loads) <= LOAD * (hints_before + 30)
 
 
+@pytest.mark.parametrize("weight", [1e-6, 1e-3, 1e4, 1e9])
+@pytest.mark.parametrize("moment", ["before the reports", "after the reports", "with its start"])
+def test_one_wrong_weight_in_a_list_teaches_nothing(weight, moment):
+    # Connections are divided by weights, and keys ranked by them: one entry of 1e-6 held up all connections for 2 s.
+    fleet, sound = (Fleet(COUNTED, 12) for _ in range(2))
+    entry = api.ServerEntry("s0", weight=1.0)
+    wrong = replace(entry, weight=weight)
+    joined = api.ServerEntry("new", started=sound.driver.now, weight=1.0)
+    for each, listed in ((fleet, wrong), (sound, entry)):
+        if moment == "before the reports":
+            each.driver.members(api.MembershipKind.CHANGES, (listed,))
+        for number in range(24):
+            each.report(f"s{number % 12}")
+        if moment == "after the reports":
+            each.driver.members(api.MembershipKind.CHANGES, (listed,))
+        new = replace(joined, weight=weight) if moment == "with its start" and each is fleet else joined
+        each.driver.members(api.MembershipKind.CHANGES, (new,))
+    assert_same(fleet.learned(), sound.learned())
+    weights = [server.weight for server in fleet.balancer.servers.values()]
+    assert weights == [1.0] * 13
+    assert any("weight" in text for text in fleet.driver.log)
+
+
+def test_weights_that_differ_as_machines_do_are_taken():
+    # A fleet of one unit for all machines must not be read as a fault, whatever that unit is.
+    for unit in (1e-3, 1.0, 5e4):
+        driver = Driver(COUNTED, servers=0)
+        entries = tuple(api.ServerEntry(f"s{n}", weight=unit * size) for n, size in enumerate((1, 2, 4, 16, 32)))
+        driver.members(api.MembershipKind.FULL, entries)
+        assert [s.weight for s in driver.balancer.servers.values()] == [entry.weight for entry in entries]
+
+
 def test_a_sudden_overload_counts_once_a_second_report_confirms_it():
     # Digits before a utilisation moved the clients of a sound server away; a server that is overloaded says so again.
     fleet = Fleet(COUNTED, 4)
