--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -149,6 +149,7 @@
     warmth: float = 1.0  # share of its capacity that it has at its age, at the last update
     connections: dict[str, RequestState] = field(default_factory=dict)  # open ones and set-ups under way
     pending: int = 0  # set-ups under way
+    plausible_loads: bool = True  # whether the last load that it noted could be right
     known_load: float = 0.0  # sum of the known loads of its connections
     reported_utilisation: float = -1.0  # in the last report; negative if there is none
     unconfirmed_utilisation: float = 0.0  # a sudden overload that the last report showed and none before it; else 0
@@ -452,6 +453,7 @@
         if not sudden or value / CONFIRMING_FACTOR <= before <= value * CONFIRMING_FACTOR:
             return False
         server.unconfirmed_utilisation = value
+        self.actions.append(api.Log(f"server {server.id}: a reported utilisation of {value:g} waits for confirmation"))
         return True
 
     def _learn_capacity(self, server: Server, utilisation: float, inflight: float | None) -> None:
@@ -491,8 +493,12 @@
         known_before = self.loads.count
         if not request.load:
             self.loads.record(request.class_index, load)
-        if self._is_plausible_load(request.class_index, load):
+        plausible = self._is_plausible_load(request.class_index, load)
+        if plausible:
             self._set_load(server, request, load)
+        elif server.plausible_loads:
+            self.actions.append(api.Log(f"server {server.id}: a load of {load:g} on a connection is ignored"))
+        server.plausible_loads = plausible
         if not known_before and self.loads.count:
             self._forget_past_loads()  # loads recorded so far counted each connection as 1
         if known_before < MIN_LOADS == self.loads.count:
--- a/tests/test_wrong_values.py
+++ b/tests/test_wrong_values.py
@@ -164,6 +164,8 @@
     for server in sound.balancer.servers:
         loads = [each.balancer._own_load(each.balancer.servers[server]) for each in (fleet, sound)]
         assert loads[0] == pytest.approx(loads[1], rel=TOLERANCE)
+    # Of the first five loads, none can be told to be wrong when it comes.
+    assert sum("load of" in text for text in fleet.driver.log) == (position >= 4)
 
 
 @pytest.mark.parametrize("hints_before", [0, 2, 20])
@@ -224,6 +226,7 @@
     fleet.report("s0")
     fleet.report("s0", 100.0, api.Field.UTILISATION)
     assert fleet.balancer.utilisation(server) == pytest.approx(UTILISATION, rel=0.1)
+    assert sum("waits for confirmation" in text for text in fleet.driver.log) == 2
     fleet.report("s0", 120.0, api.Field.UTILISATION)
     assert fleet.balancer.utilisation(server) == pytest.approx(120 * UTILISATION, rel=0.1)
 
