--- a/scaledeal/lab/experiments/sweep.py
+++ b/scaledeal/lab/experiments/sweep.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
+from scaledeal import interface as api
 from scaledeal.lab.experiments.statistics import Verdict, compare
+from scaledeal.lab.hosts.module import BalancerFactory
 from scaledeal.lab.runs.play import HostName, Job, Outcome, Variant, load_balancer
 from scaledeal.lab.runs.store import Store
 from scaledeal.lab.runs.worker import play_in_parallel
@@ -58,12 +60,37 @@
 
 def _check_source(variant: Variant, specification: str) -> Variant:
     try:
-        load_balancer(variant.source)
+        _check_fit(load_balancer(variant.source))
     except ValueError as error:
         raise VariantError(f"{specification}: {error}") from None
     return variant
 
 
+def _check_fit(make_balancer: BalancerFactory) -> None:
+    """Have a balancer learn from one report; raise ValueError if it does not fit today's other decision modules.
+
+    A variant holds ``policy.py`` alone, so that of an older revision may call the others as they were then.
+    """
+    second = 1_000_000_000
+    settings = api.Settings(
+        classes=(api.RequestClass(second, second),),
+        may_probe=True,
+        report_fields=(api.Field.UTILISATION,),
+        report_source=api.Source.PROBES,
+    )
+    events = (
+        api.Membership(api.MembershipKind.INITIAL, (api.ServerEntry("s"),)),
+        api.Request("r", 0, second),
+        api.ProbeResult("s", api.Result.OK, 1, (0.5,)),
+    )
+    balancer = make_balancer(settings, 1)
+    for event in events:
+        try:
+            balancer.handle(0, event)
+        except (AttributeError, TypeError) as error:
+            raise ValueError(f"the module does not fit today's other decision modules: {error}") from None
+
+
 def make_jobs(texts: Iterable[str], seeds: Iterable[int], variants: Iterable[Variant], host: HostName) -> list[Job]:
     """Return all jobs of an experiment.
 
--- a/tests/test_lab_runs.py
+++ b/tests/test_lab_runs.py
@@ -168,6 +168,17 @@
         parse_variant(specification)
 
 
+def test_a_variant_of_an_older_revision_that_fits_no_more_is_reported(tmp_path: Path):
+    # Such a variant was loaded, and each of its runs then ended in the middle.
+    source = (Path(__file__).parent.parent / "scaledeal/policy.py").read_text()
+    older = tmp_path / "policy.py"
+    older.write_text(source.replace("self.cold_start.record_report(server.id, ", "self.cold_start.record_report("))
+    with pytest.raises(VariantError, match="does not fit"):
+        parse_variant(f"old=file:{older}")
+    older.write_text(source)
+    assert parse_variant(f"same=file:{older}").name == "same"
+
+
 def test_settings_that_do_not_fit_a_scenario_are_reported_with_their_place():
     with pytest.raises(FileError, match="relays.count"):
         load_text(text(), 'relays {\n  count = "many"\n}\n')
