--- a/scaledeal/net/attempt.py
+++ b/scaledeal/net/attempt.py
@@ -112,6 +112,10 @@
             self._stop_timer()
             self.timer = self.context.reactor.callLater(HALF_CLOSE_TIMEOUT_S, self._stop, api.Result.CANCELLED)
 
+    def is_out(self) -> bool:
+        """Return whether the attempt goes on: it has neither ended nor been given up."""
+        return self.stage is not Stage.ENDING
+
     def unanswered_since(self) -> int:
         """Return since when a message has waited for its answer, in ns on the driver's clock; 0 if none waits."""
         return self.oldest_unanswered_at if self.stage is Stage.ESTABLISHED else 0
--- a/scaledeal/net/carry.py
+++ b/scaledeal/net/carry.py
@@ -18,7 +18,8 @@
 from scaledeal.net import wording
 from scaledeal.net.attempt import LineAttempt
 from scaledeal.net.driver import Driver
-from scaledeal.net.handover import HandedConnection, Offer
+from scaledeal.net.handover import Offer
+from scaledeal.net.handover_messages import HandedConnection
 from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.transaction import Transaction
 from scaledeal.net.user_agent import ClientContext, UserAgent, client_request
--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -22,6 +22,7 @@
 from scaledeal.net.load_reports import LoadReports
 from scaledeal.net.ports import Reactor, Timer
 from scaledeal.net.request_guard import RequestGuard
+from scaledeal.net.request_ids import RequestIds
 from scaledeal.net.sides import Agent, ClientRequest, Prober
 from scaledeal.net.trace import Trace
 from scaledeal.net.transaction import State, Transaction
@@ -56,6 +57,7 @@
         self.figures = figures
         self.invariants = Invariants(self.now)
         self.guard = RequestGuard(settings, drain_grace, self.now, self.invariants)
+        self.request_ids = RequestIds()
         self.draining = False  # each connection is moved as soon as it is established
         self.stopping = False  # each new request is refused: the process is about to exit
         self.prober: Prober | None = None
@@ -162,6 +164,8 @@
                 self.now(), transaction.handle, msgspec.structs.replace(request, previous_server=server)
             )
         transaction.resumed(server)
+        if request.request_id:
+            self.request_ids.adopt(request.request_id)
         self.post(
             api.OpenConnection(
                 transaction.handle,
@@ -194,6 +198,14 @@
         self.transactions.pop(transaction.handle, None)
         self.load_lines.forget(transaction.handle)
 
+    def release_id(self, transaction: Transaction) -> None:
+        """Free the id of a request that is over."""
+        self.request_ids.release(transaction.request.request_id)
+
+    def handed_over(self, transaction: Transaction) -> None:
+        """Record that another process of this relay has the connection, and with it the id."""
+        self.request_ids.hand_over(transaction.request.request_id)
+
     def ended(self, transaction: Transaction, cause: EndCause) -> None:
         """Count the cause for which a transaction is over, and write it to the trace."""
         self.figures.ended[cause] += 1
--- a/scaledeal/net/handover.py
+++ b/scaledeal/net/handover.py
@@ -4,8 +4,8 @@
 socket and the new one claims it; from then on the old process reports how many descriptors it leaves to the new one,
 and its established connections, and may hand those over too.
 
-The new process receives file descriptors and lines of JSON: ``spare``, ``stands``, ``left`` and ``handed``. It sends
-``taken`` and ``serving``. These tags and the fields are the protocol between two builds.
+The two exchange file descriptors and the messages of ``scaledeal.net.handover_messages``. While both serve, the new
+process asks the old one for the id of each request.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 import os
 import socket
 import stat
+from functools import partial
 from hashlib import blake2b
 from pathlib import Path
 from typing import Any, Protocol, cast
@@ -29,9 +30,22 @@
 from zope.interface import implementer
 
 from scaledeal.net.config import Address
-from scaledeal.net.inherited import EstablishedConnection
+from scaledeal.net.handover_messages import (
+    ClaimDecided,
+    ClaimId,
+    ConnectionEnded,
+    ConnectionTaken,
+    EstablishedConnection,
+    FromPredecessor,
+    FromSuccessor,
+    HandedConnection,
+    ReleaseId,
+    Serving,
+    SpareDescriptors,
+)
 from scaledeal.net.offers import next_offer_path
 from scaledeal.net.ports import Port, Reactor, Timer
+from scaledeal.net.request_ids import Authority, ClaimResult, Decide, RemoteAuthority
 
 log = logging.getLogger("scaledeal.handover")
 
@@ -40,42 +54,8 @@
 MAX_MESSAGE_BYTES = 1 << 15  # the longest message holds three lines of a client, encoded
 UPDATE_INTERVAL_S = 0.2  # between two reports of spare descriptors and established connections
 
-
-class SpareDescriptors(msgspec.Struct, frozen=True, tag="spare"):
-    """Sent by the old process: how many descriptors the new one may hold."""
-
-    spare: int
-
-
-class ConnectionEnded(msgspec.Struct, frozen=True, tag="left"):
-    """Sent by the old process: a connection that it had reported is no longer established there."""
-
-    handle: str
-
-
-class HandedConnection(msgspec.Struct, frozen=True, tag="handed"):
-    """Sent by the old process: a connection whose two sockets it has sent just before."""
-
-    handle: str
-    server: str
-    load: float
-    state: bytes
-
-
-class ConnectionTaken(msgspec.Struct, frozen=True, tag="taken"):
-    """Sent by the new process: it goes on with a connection that was handed over."""
-
-    handle: str
-
-
-class Serving(msgspec.Struct, frozen=True, tag="serving"):
-    """Sent by the new process: it accepts clients."""
-
-
-_predecessor_decoder = msgspec.json.Decoder(
-    SpareDescriptors | EstablishedConnection | ConnectionEnded | HandedConnection
-)
-_successor_decoder = msgspec.json.Decoder(Serving | ConnectionTaken)
+_predecessor_decoder: msgspec.json.Decoder[FromPredecessor] = msgspec.json.Decoder(FromPredecessor)
+_successor_decoder: msgspec.json.Decoder[FromSuccessor] = msgspec.json.Decoder(FromSuccessor)
 
 
 class OfferLocation(msgspec.Struct, frozen=True):
@@ -122,6 +102,12 @@
     def connection_taken(self, handle: str) -> None:
         """Handle the successor's confirmation that it has a connection that was handed over."""
 
+    def id_claimed(self, request_id: str, decide: Decide) -> None:
+        """Decide whether the successor may begin a request with this id; ``decide`` is called once."""
+
+    def id_released(self, request_id: str) -> None:
+        """Take back an id that the successor was granted, or that came with a connection."""
+
 
 class Offer(ServerFactory):
     """The old process's side: owns the Unix socket, and accepts one successor at a time."""
@@ -192,10 +178,15 @@
             return
         if self.offer.successor is not self:
             return
-        if isinstance(message, ConnectionTaken):
-            self.offer.relay.connection_taken(message.handle)
+        relay = self.offer.relay
+        if isinstance(message, ClaimId):
+            relay.id_claimed(message.request_id, partial(self._decided, message.number))
+        elif isinstance(message, ReleaseId):
+            relay.id_released(message.request_id)
+        elif isinstance(message, ConnectionTaken):
+            relay.connection_taken(message.handle)
         else:
-            self.offer.relay.successor_changed(True, True)
+            relay.successor_changed(True, True)
 
     def hand_over(self, connection: HandedConnection, descriptors: tuple[int, ...]) -> None:
         """Send a connection's sockets, and then its state."""
@@ -203,6 +194,10 @@
             cast(Any, self.transport).sendFileDescriptor(descriptor)
         self._send(connection)
 
+    def _decided(self, number: int, result: ClaimResult) -> None:
+        if self.offer.successor is self:
+            self._send(ClaimDecided(number, result is ClaimResult.GRANTED))
+
     def connectionLost(self, reason: Failure = cast(Failure, None)) -> None:  # noqa: N802, B008, D102
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
@@ -215,7 +210,7 @@
         spare = self.offer.relay.spare_descriptors()
         if spare != self.sent_spare:
             self.sent_spare = spare
-            self._send(SpareDescriptors(spare))
+            self._send(SpareDescriptors(spare, decides_ids=True))
         connections, sent = self.offer.relay.established_connections(), self.sent_connections
         for handle in sent.keys() - connections.keys():
             self._send(ConnectionEnded(handle))
@@ -241,6 +236,9 @@
     def descriptors_left(self, count: int | None) -> None:
         """Take how many descriptors the old process leaves to this one; None once it is gone."""
 
+    def authority_changed(self, authority: Authority | None) -> None:
+        """Ask the old process for each id from now on; None once it is gone."""
+
     def connection_reported(self, connection: EstablishedConnection) -> None:
         """Handle a connection that is established at the old process, or a change of its load."""
 
@@ -273,7 +271,7 @@
     def send_serving(self) -> None:
         """Tell the old process, if there is one, that this one accepts clients."""
         if self.predecessor is not None:
-            cast(Any, self.predecessor).sendLine(msgspec.json.encode(Serving()))
+            self.predecessor.send_serving()
 
     def buildProtocol(self, addr: IAddress | None) -> Predecessor:  # noqa: N802, D102
         return Predecessor(self)
@@ -291,6 +289,7 @@
     def __init__(self, claim: Claim) -> None:
         self.claim = claim
         self.descriptors: list[int] = []  # received and not passed on yet
+        self.ids = RemoteAuthority(claim.reactor, self._send)
         self.timer = claim.reactor.callLater(SOCKET_TIMEOUT_S, self._abort)
 
     def fileDescriptorReceived(self, descriptor: int) -> None:  # noqa: N802, D102
@@ -312,11 +311,15 @@
             relay.connection_reported(message)
         elif isinstance(message, ConnectionEnded):
             relay.connection_ended(message.handle)
+        elif isinstance(message, ClaimDecided):
+            self.ids.answered(message)
         else:
             self._take_connection(message)
         if first:
             self.timer.cancel()
             self.claim.predecessor = self
+            if isinstance(message, SpareDescriptors) and message.decides_ids:
+                relay.authority_changed(self.ids)
             relay.claim_finished(self.descriptors.pop(0))
 
     def connectionLost(self, reason: Failure = cast(Failure, None)) -> None:  # noqa: N802, B008, D102
@@ -326,14 +329,23 @@
             os.close(descriptor)
         if self.claim.predecessor is self:
             self.claim.predecessor = None
+            self.claim.relay.authority_changed(None)
+            self.ids.lost()
             self.claim.relay.descriptors_left(None)
         else:
             self.claim.try_next_offer()
 
+    def send_serving(self) -> None:
+        """Tell the old process that this one accepts clients."""
+        self._send(Serving())
+
+    def _send(self, message: FromSuccessor) -> None:
+        cast(Any, self).sendLine(msgspec.json.encode(message))
+
     def _take_connection(self, connection: HandedConnection) -> None:
         pair, self.descriptors = self.descriptors[:2], self.descriptors[2:]
         if len(pair) == 2 and self.claim.relay.take_connection(connection, (pair[0], pair[1])):
-            cast(Any, self).sendLine(msgspec.json.encode(ConnectionTaken(connection.handle)))
+            self._send(ConnectionTaken(connection.handle))
         for descriptor in pair:
             os.close(descriptor)
 
--- a/scaledeal/net/inherited.py
+++ b/scaledeal/net/inherited.py
@@ -6,22 +6,9 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from scaledeal import interface as api
 from scaledeal.net.driver import Driver
-
-
-class EstablishedConnection(msgspec.Struct, frozen=True, tag="stands"):
-    """A connection that is established at the old process."""
-
-    handle: str
-    request_class: int
-    server: str
-    key: str
-    group: str
-    tenant: int
-    load: float  # last load that its application server reported; 0 while unknown
+from scaledeal.net.handover_messages import EstablishedConnection
 
 
 def established_connections(driver: Driver) -> dict[str, EstablishedConnection]:
--- a/scaledeal/net/relay.py
+++ b/scaledeal/net/relay.py
@@ -95,6 +95,7 @@
                 admission,
                 self.driver.begin_transaction,
                 lambda: self.service.stage not in (Stage.STARTING, Stage.LAME_DUCK),
+                request_ids=self.driver.request_ids,
             )
         )
         self.port: Port | None = None
@@ -333,13 +334,14 @@
         # A client that is writing its request must not be cut off. Where a new version serves, no more clients come,
         # and all that are connected get their time.
         unasked_clients = admission.idle_count() if self.succession.replaced else len(admission.writers)
-        if self.driver.transactions or unasked_clients:
+        if self.driver.transactions or self.driver.request_ids.undecided or unasked_clients:
             self.reactor.callLater(0.05, self._exit_when_done)
         else:
             self._begin_exit()
 
     def _end_remaining(self) -> None:
         """Move or fail all that is left, and begin the exit."""
+        self.succession.decide_claims()
         for transaction in list(self.driver.transactions.values()):
             transaction.move_unrequested()
             transaction.fail()
--- /dev/null
+++ b/scaledeal/net/request_ids.py
@@ -0,0 +1,175 @@
+"""The ids of open requests, each of which may be open once at all processes of one relay together.
+
+While a new version takes over, two processes of a relay or more serve clients. The one that was there first decides: a
+later one asks the process that it takes over from before it begins a request, and that process asks its own predecessor
+in turn. An id is free again once its request is over and no attempt of it is under way.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+from scaledeal.net.handover_messages import ClaimDecided, ClaimId, ReleaseId
+from scaledeal.net.ports import Reactor, Timer
+
+CLAIM_TIMEOUT_S = 0.5  # for the old process to answer; an answer so long after a deadline is still in time
+
+
+class ClaimResult(Enum):
+    """The answer to a claim of an id."""
+
+    GRANTED = "granted"
+    IN_USE = "in use"
+    UNDECIDED = "undecided"  # the old process did not answer in time
+
+
+Decide = Callable[[ClaimResult], None]
+
+
+class Authority(Protocol):
+    """The process that decides on claims, as a later process sees it."""
+
+    def ask(self, request_id: str, decide: Decide) -> None:
+        """Ask for an id; ``decide`` is called once, at once or later."""
+
+    def release(self, request_id: str) -> None:
+        """Give back an id that was granted."""
+
+
+class RequestIds:
+    """The ids that are open at this process, and at the processes that take over from it."""
+
+    def __init__(self) -> None:
+        self.authority: Authority | None = None  # while a process that this one takes over from can be asked
+        self.undecided = 0  # claims of this process's own clients that wait for an answer
+        # More than one holder only where an older version handed over a connection whose id it could not tell before.
+        self._own: Counter[str] = Counter()
+        self._successors: set[str] = set()
+
+    def is_open(self, request_id: str) -> bool:
+        """Return whether a request with this id is open here, or at a process that takes over from this one."""
+        return request_id in self._own or request_id in self._successors
+
+    def open_here(self) -> set[str]:
+        """Return the ids that are open at this process."""
+        return set(self._own)
+
+    def claim(self, request_id: str, decide: Decide) -> None:
+        """Claim an id for a client of this process; ``decide`` is called once, at once or later."""
+        if self.is_open(request_id):
+            decide(ClaimResult.IN_USE)
+            return
+        self._own[request_id] += 1
+        if self.authority is None:
+            decide(ClaimResult.GRANTED)
+            return
+        self.undecided += 1
+        self.authority.ask(request_id, lambda result: self._decided(request_id, result, decide))
+
+    def adopt(self, request_id: str) -> None:
+        """Record the id of a connection that was handed over to this process."""
+        self._own[request_id] += 1
+
+    def release(self, request_id: str) -> None:
+        """Free an id of this process, whose request is over; an id that is not open here is ignored."""
+        if request_id in self._own:
+            self._discard_own(request_id)
+            self._release_if_free(request_id)
+
+    # For the process that takes over from this one
+
+    def claim_for_successor(self, request_id: str, decide: Decide) -> None:
+        """Claim an id for the process that takes over; ``decide`` is called once, at once or later."""
+        if self.is_open(request_id):
+            decide(ClaimResult.IN_USE)
+            return
+        self._successors.add(request_id)
+        if self.authority is None:
+            decide(ClaimResult.GRANTED)
+        else:
+            self.authority.ask(request_id, lambda result: self._decided_for_successor(request_id, result, decide))
+
+    def hand_over(self, request_id: str) -> None:
+        """Record that the process that takes over has the connection with this id; this process releases it itself."""
+        self._successors.add(request_id)
+
+    def release_for_successor(self, request_id: str) -> None:
+        """Free an id that the process that takes over has given back."""
+        if request_id in self._successors:
+            self._successors.discard(request_id)
+            self._release_if_free(request_id)
+
+    def successor_lost(self) -> None:
+        """Free all ids of the process that took over, as it is gone with its connections."""
+        for request_id in list(self._successors):
+            self.release_for_successor(request_id)
+
+    # Internal methods
+
+    def _decided(self, request_id: str, result: ClaimResult, decide: Decide) -> None:
+        self.undecided -= 1
+        if result is not ClaimResult.GRANTED:
+            self._discard_own(request_id)
+        decide(result)
+
+    def _decided_for_successor(self, request_id: str, result: ClaimResult, decide: Decide) -> None:
+        if result is not ClaimResult.GRANTED:
+            self._successors.discard(request_id)
+        decide(result)
+
+    def _discard_own(self, request_id: str) -> None:
+        self._own[request_id] -= 1
+        if not self._own[request_id]:
+            del self._own[request_id]
+
+    def _release_if_free(self, request_id: str) -> None:
+        if self.authority is not None and not self.is_open(request_id):
+            self.authority.release(request_id)
+
+
+class RemoteAuthority:
+    """Asks the process that this one takes over from, over the connection between the two."""
+
+    def __init__(self, reactor: Reactor, send: Callable[[ClaimId | ReleaseId], None]) -> None:
+        self.reactor = reactor
+        self.send = send
+        self._claims = 0
+        self._waiting: dict[int, tuple[str, Decide, Timer]] = {}  # by the number of the claim
+        self._late: dict[int, str] = {}  # the ids of claims that timed out, whose answers may still come
+
+    def ask(self, request_id: str, decide: Decide) -> None:
+        """Ask for an id; ``decide`` is called once the answer has come, or is late."""
+        self._claims += 1
+        number = self._claims
+        timer = self.reactor.callLater(CLAIM_TIMEOUT_S, self._timed_out, number)
+        self._waiting[number] = request_id, decide, timer
+        self.send(ClaimId(number, request_id))
+
+    def release(self, request_id: str) -> None:
+        """Give back an id that was granted."""
+        self.send(ReleaseId(request_id))
+
+    def answered(self, message: ClaimDecided) -> None:
+        """Handle the answer to a claim; an id that is granted too late is given back."""
+        if waiting := self._waiting.pop(message.number, None):
+            _, decide, timer = waiting
+            timer.cancel()
+            decide(ClaimResult.GRANTED if message.granted else ClaimResult.IN_USE)
+        elif (late := self._late.pop(message.number, None)) is not None and message.granted:
+            self.release(late)
+
+    def lost(self) -> None:
+        """Grant all claims that wait: the process that was asked is gone with its requests."""
+        waiting, self._waiting = self._waiting, {}
+        self._late.clear()
+        for _, decide, timer in waiting.values():
+            timer.cancel()
+            decide(ClaimResult.GRANTED)
+
+    def _timed_out(self, number: int) -> None:
+        request_id, decide, _ = self._waiting.pop(number)
+        self._late[number] = request_id
+        decide(ClaimResult.UNDECIDED)
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -70,6 +70,9 @@
     def client_ended_sending(self) -> None:
         """End the sending on an established connection, as the client did."""
 
+    def is_out(self) -> bool:
+        """Return whether the application server may still get or serve the request: nobody has given it up."""
+
     def unanswered_since(self) -> int:
         """Return since when a message has waited for its answer, in ns on the driver's clock; 0 if none waits."""
 
--- a/scaledeal/net/succession.py
+++ b/scaledeal/net/succession.py
@@ -8,9 +8,11 @@
 from scaledeal.net.admission import RESERVED_DESCRIPTORS
 from scaledeal.net.carry import Carrier, resume
 from scaledeal.net.driver import Driver
-from scaledeal.net.handover import Claim, HandedConnection, Offer, OfferLocation
-from scaledeal.net.inherited import EstablishedConnection, InheritedConnections, established_connections
+from scaledeal.net.handover import Claim, Offer, OfferLocation
+from scaledeal.net.handover_messages import EstablishedConnection, HandedConnection
+from scaledeal.net.inherited import InheritedConnections, established_connections
 from scaledeal.net.ports import Port, Reactor
+from scaledeal.net.request_ids import Authority, Decide
 from scaledeal.net.user_agent import ClientContext
 
 log = logging.getLogger("scaledeal.succession")
@@ -36,6 +38,7 @@
         self.admission = client_context.admission
         self.claim_finished = claim_finished  # takes over the listening descriptor; None if no process hands one over
         self.accept_clients = accept_clients  # called once the process that handed it over is gone
+        self.request_ids = driver.request_ids
         self.inherited = InheritedConnections(driver)
         self.port: Port | None = None  # the listening port, from when it accepts clients
         self.replaced = False  # a new version accepts clients in place of this process
@@ -90,6 +93,7 @@
         self.admission.lent = RESERVED_DESCRIPTORS if connected else 0
         if self.carrier is not None and not connected:
             self.carrier.successor_lost()
+            self.request_ids.successor_lost()
         if self.port is None or serving == self.replaced:
             return
         self.replaced = serving
@@ -105,8 +109,25 @@
         if self.carrier is not None:
             self.carrier.connection_taken(handle)
 
+    def id_claimed(self, request_id: str, decide: Decide) -> None:
+        """Decide whether the successor may begin a request with this id; ``decide`` is called once."""
+        self.request_ids.claim_for_successor(request_id, decide)
+
+    def id_released(self, request_id: str) -> None:
+        """Take back an id that the successor was granted, or that came with a connection."""
+        self.request_ids.release_for_successor(request_id)
+
     # As the new process
 
+    def authority_changed(self, authority: Authority | None) -> None:
+        """Ask the old process for each id from now on; None once it is gone."""
+        self.request_ids.authority = authority
+
+    def decide_claims(self) -> None:
+        """Wait no longer for the old process to decide on ids, as this process ends."""
+        if self.claim is not None and self.claim.predecessor is not None:
+            self.claim.predecessor.ids.lost()
+
     def descriptors_left(self, count: int | None) -> None:
         """Take how many descriptors the old process leaves to this one; None once it is gone."""
         # The two processes together may hold no more descriptors than one relay may.
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -55,6 +55,12 @@
     def forget(self, transaction: Transaction) -> None:
         """Remove a transaction from the table."""
 
+    def release_id(self, transaction: Transaction) -> None:
+        """Free the id of a request that is over; called once for each transaction."""
+
+    def handed_over(self, transaction: Transaction) -> None:
+        """Record that another process of this relay has the connection, and with it the id."""
+
     def ended(self, transaction: Transaction, cause: EndCause) -> None:
         """Record why a transaction is over; called once for each."""
 
@@ -77,6 +83,7 @@
         self.request = request
         self.agent = agent
         self.state = State.WAITING
+        self.id_released = False
         self.guarded = host.guard.open(
             request.request_id or handle, request.request_class, request.deadline, bool(request.previous_server)
         )
@@ -134,6 +141,7 @@
             self.host.ended(self, cause)
             self.agent.move()
             self.current.client_left(False)
+            self._release_id_if_over()
 
     def move_unrequested(self) -> None:
         """Move the client of an established connection without an action of the decision module."""
@@ -162,6 +170,7 @@
         if self.state is State.OFFERED:
             self.state, self.current = State.OVER, None
             self.host.ended(self, EndCause.HANDED_OVER)
+            self.host.handed_over(self)
             self.agent.release()
             self.host.post(api.ClientGone(self.handle))  # so the module does not attribute the end to the server
             self._outcome(self.attempts - 1, api.Result.CANCELLED, ())
@@ -272,6 +281,7 @@
             self.host.ended(self, EndCause.CLIENT_LEFT)
             if self.current is not None:
                 self.current.client_left(broke)
+            self._release_id_if_over()
         elif self.state is State.WAITING:
             self.state = State.OVER
             self.host.guard.client_left(self.guarded)
@@ -327,7 +337,15 @@
         elapsed = self.host.now() - self.attempt_started_at
         self.host.post(api.Outcome(self.handle, number, self.server, result, elapsed, last, report))
 
+    def _release_id_if_over(self) -> None:
+        """Free the request's id, unless an attempt is out: another request with this id would be a second copy."""
+        out = self.current is not None and self.current.is_out()
+        if self.state is State.OVER and not out and not self.id_released:
+            self.id_released = True
+            self.host.release_id(self)
+
     def _forget_if_over(self) -> None:
+        self._release_id_if_over()
         if self.state is State.OVER and self.current is None:
             self.host.forget(self)
 
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -11,6 +11,7 @@
 from scaledeal.net.admission import Admission
 from scaledeal.net.attempt import NS_PER_S, AttemptContext, LineAttempt
 from scaledeal.net.lines import LineLink
+from scaledeal.net.request_ids import ClaimResult, RequestIds
 from scaledeal.net.sides import Agent, AttemptEvents, ClientRequest, PausedConnection, ResumableSession, SessionOpener
 from scaledeal.net.transaction import Transaction
 
@@ -24,7 +25,7 @@
     """The stage of a client's connection."""
 
     FIRST_LINE = 1  # no request yet
-    REQUESTED = 2  # the request is not answered yet
+    REQUESTED = 2  # the request is not answered yet; its id may still be undecided
     ESTABLISHED = 3  # lines pass both ways
     OVER = 4
 
@@ -39,7 +40,7 @@
     start_transaction: Callable[[ClientRequest, Agent], Transaction]
     is_ready: Callable[[], bool]  # whether a PING of a front is answered with PONG
     session_openers: list[SessionOpener] = msgspec.field(default_factory=list)  # none or one, for resumable sessions
-    open_ids: set[str] = msgspec.field(default_factory=set)  # of the requests and connections that are open here
+    request_ids: RequestIds = msgspec.field(default_factory=RequestIds)  # the driver's
 
     def tenant_number(self, read: wording.OpenLine) -> int | None:
         """Return the number of the tenant in a first line's ``t``; None if the settings do not have that tenant.
@@ -173,31 +174,55 @@
         if read is None or number is None or tenant is None:
             self._reject("invalid request")
             return
-        if read.id in context.open_ids:
+        if context.request_ids.is_open(read.id):
             # Servers reject a second connection under the same id, and the rejections would count against them.
             self._reject("id in use")
             return
-        for open_session in context.session_openers:
+        request = client_request(read, number, tenant, context.attempt_context.now())
+        self._request_received(Stage.REQUESTED, read)
+        # The answer may come later, from another process of this relay; until then the request waits like any other.
+        context.request_ids.claim(read.id, lambda result: self._id_decided(result, request))
+
+    def _id_decided(self, result: ClaimResult, request: ClientRequest) -> None:
+        """Begin the request if its id was granted, and its client is still there."""
+        read = self.open_line
+        if result is ClaimResult.GRANTED:
+            if read is None or not self._begin(request, read):
+                self.client_context.request_ids.release(request.request_id)
+        elif read is not None:
+            self._detach_transaction()
+            if result is ClaimResult.IN_USE:
+                self._reject("id in use")
+            else:
+                self._reject("id not decided", wording.BUSY)  # it was sent to no server, so a repeat is harmless
+
+    def _begin(self, request: ClientRequest, read: wording.OpenLine) -> bool:
+        """Begin the transaction, which frees the id at its end; return False if there is none to begin."""
+        if not self._open_session(read):
+            return False
+        if not self.client_context.admission.admit_request():
+            self.client_context.admission.count_turned_away("no descriptor left")
+            self._refusal(wording.BUSY)
+            return False
+        self.transaction = self.client_context.start_transaction(request, self)
+        return True
+
+    def _open_session(self, read: wording.OpenLine) -> bool:
+        """Open or resume the client's session, if it has one; return False if that is refused."""
+        for open_session in self.client_context.session_openers:
             session = open_session(read.parameters)
             if isinstance(session, bytes):
+                self._detach_transaction()
                 self._reject("resume refused", session)
-                return
+                return False
             self.session = session
             if session is not None:
                 session.cut = self._cut
-        self._request_received(Stage.REQUESTED, read)
-        if not context.admission.admit_request():
-            context.admission.count_turned_away("no descriptor left")
-            self._refusal(wording.BUSY)
-            return
-        self.transaction = context.start_transaction(
-            client_request(read, number, tenant, context.attempt_context.now()), self
-        )
+        return True
 
     def _request_received(self, stage: Stage, read: wording.OpenLine) -> None:
         self._stop_timer()
         self.stage, self.open_line, self.has_request = stage, read, True
-        self.client_context.open_ids.add(read.id)
         self.client_context.admission.request_received(self)
 
     def _ping(self) -> None:
@@ -241,12 +266,10 @@
         self.reset()
 
     def _detach_transaction(self) -> Transaction | None:
-        """Detach and return the transaction, if any; free its id, which happens nowhere else."""
+        """Detach and return the transaction, if any."""
         self.stage = Stage.OVER
         transaction, self.transaction = self.transaction, None
-        if self.open_line is not None:
-            self.client_context.open_ids.discard(self.open_line.id)
-            self.open_line = None
+        self.open_line = None
         if self.session is not None:
             self.session.leave()
         return transaction
--- a/scaledeal/quic/sockets/agent.py
+++ b/scaledeal/quic/sockets/agent.py
@@ -78,6 +78,10 @@
     def client_ended_sending(self) -> None:
         """Do nothing: half-closed QUIC streams concern the endpoints only."""
 
+    def is_out(self) -> bool:
+        """Return whether the attempt goes on."""
+        return not self.ended
+
     def unanswered_since(self) -> int:
         """Return 0: encryption hides which messages wait for an answer."""
         return 0
--- a/tests/netfakes.py
+++ b/tests/netfakes.py
@@ -251,6 +251,7 @@
             self.admission,
             self.driver.begin_transaction,
             lambda: self.service.stage is not Stage.LAME_DUCK,
+            request_ids=self.driver.request_ids,
         )
         self.service.start_serving()
         self.list(a="127.0.0.1:1", b="127.0.0.1:2")
--- a/tests/test_admission_model.py
+++ b/tests/test_admission_model.py
@@ -136,7 +136,7 @@
         assert not self.bench.admission.closing and self.bench.pool.in_use == 0
         for wire in self.good:
             wire.lose(error.ConnectionLost())
-        assert self.bench.admission.active == 0 and not self.bench.client_context.open_ids
+        assert self.bench.admission.active == 0 and not self.bench.client_context.request_ids.open_here()
 
 
 def test_bad_clients_never_keep_out_clients_with_requests():
--- a/tests/test_carry_model.py
+++ b/tests/test_carry_model.py
@@ -13,7 +13,7 @@
 from scaledeal import interface as api
 from scaledeal.net.buffers import MAX_LINE_BYTES
 from scaledeal.net.carry import CONNECTIONS_PER_ROUND, Carrier, resume
-from scaledeal.net.handover import HandedConnection
+from scaledeal.net.handover_messages import HandedConnection
 
 OPEN_LINE = b"OPEN 9b1f 7f3a c=browse,d=800,g=5c0f,x=1\r\n"
 CHUNKS = st.sampled_from([b"M 1", b"\r\n", b"\r", b"\n", b"x" * 900, b"M 2\r\nM 3\r\nM"])
@@ -110,7 +110,11 @@
         self.assert_nothing_is_left(self.bench)
         opened = new.module.events_of(api.OpenConnection)[0]
         assert (opened.server, opened.key, opened.group, opened.inherited) == ("a", "7f3a", "5c0f", True)
-        assert new.client_context.open_ids == {"9b1f"} and new.admission.active == 1 and not new.admission.silent
+        assert (
+            new.client_context.request_ids.open_here() == {"9b1f"}
+            and new.admission.active == 1
+            and not new.admission.silent
+        )
         self.passed_to_client += self.client.sent
         self.passed_to_server += self.server.sent
         self.bench, (self.client, self.server) = new, new.reactor.adopted
@@ -118,7 +122,7 @@
         type(self).handovers += 1
 
     def assert_nothing_is_left(self, bench: Bench) -> None:
-        assert not bench.driver.transactions and not bench.client_context.open_ids
+        assert not bench.driver.transactions and not bench.client_context.request_ids.open_here()
         assert bench.admission.active == 0 == bench.pool.in_use and not bench.admission.silent
         gone, ended = bench.module.events_of(api.ClientGone), bench.module.events_of(api.Outcome)
         assert len(ended) == 1 and ended[0].last and ended[0].result is api.Result.CANCELLED
--- a/tests/test_handover_model.py
+++ b/tests/test_handover_model.py
@@ -24,7 +24,9 @@
     Predecessor,
     Successor,
 )
-from scaledeal.net.inherited import EstablishedConnection, InheritedConnections
+from scaledeal.net.handover_messages import EstablishedConnection
+from scaledeal.net.inherited import InheritedConnections
+from scaledeal.net.request_ids import Authority
 
 NO_OFFERS = OfferLocation(Path("/nowhere"), Address("127.0.0.1", 0))
 
@@ -98,6 +100,9 @@
         if count is None:
             self.inherited.remove_all()
 
+    def authority_changed(self, authority: Authority | None) -> None:
+        self.authority = authority
+
     def connection_reported(self, connection: EstablishedConnection) -> None:
         self.inherited.update(connection)
 
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -341,7 +341,7 @@
     assert (
         again.lines() == []
         and len(bench.module.events_of(api.Request)) == 2
-        and len(bench.client_context.open_ids) == 1
+        and len(bench.client_context.request_ids.open_here()) == 1
     )
 
 
@@ -588,7 +588,7 @@
     assert len(bench.reactor.dialled) == (stage != "held"), "a further attempt"
     results = [event.result for event in bench.module.events_of(api.Outcome) if event.result is not api.Result.NOT_SENT]
     assert results == ([] if stage == "held" else [api.Result.CANCELLED]), "counted against the server"
-    assert not bench.driver.transactions and not bench.client_context.open_ids
+    assert not bench.driver.transactions and not bench.client_context.request_ids.open_here()
 
 
 def test_too_many_early_lines_end_the_request_and_its_attempt():
