--- a/scaledeal/net/handover_messages.py
+++ b/scaledeal/net/handover_messages.py
@@ -58,7 +58,7 @@
 
 
 class ReleaseId(msgspec.Struct, frozen=True, tag="release"):
-    """Sent by the new process: the request with this id is over, or begins no more."""
+    """Sent by the new process: no request and no claim holds this id there any more."""
 
     request_id: str
 
--- a/scaledeal/net/request_ids.py
+++ b/scaledeal/net/request_ids.py
@@ -10,8 +10,11 @@
 from collections import Counter
 from collections.abc import Callable
 from enum import Enum
+from itertools import count
 from typing import Protocol
 
+import msgspec
+
 from scaledeal.net.handover_messages import ClaimDecided, ClaimId, ReleaseId
 from scaledeal.net.ports import Reactor, Timer
 
@@ -32,22 +35,29 @@
 class Authority(Protocol):
     """The process that decides on claims, as a later process sees it."""
 
-    def ask(self, request_id: str, decide: Decide) -> None:
-        """Ask for an id; ``decide`` is called once, at once or later."""
+    def ask(self, request_id: str, decide: Decide, settle: Callable[[], None]) -> None:
+        """Ask for an id; ``decide`` is called once, at once or later.
+
+        ``settle`` is called if the answer comes after all where ``decide`` was told that it did not.
+        """
 
     def release(self, request_id: str) -> None:
-        """Give back an id that was granted."""
+        """Tell that no request or claim holds this id here; if that is known already it is ignored."""
 
 
 class RequestIds:
-    """The ids that are open at this process, and at the processes that take over from it."""
+    """The ids that are open at this process, and at the processes that take over from it.
+
+    An id is held by each request or claim that has it. There are more than one where a claim will be refused, and the
+    connection with that id is handed over before the answer comes.
+    """
 
     def __init__(self) -> None:
         self.authority: Authority | None = None  # while a process that this one takes over from can be asked
         self.undecided = 0  # claims of this process's own clients that wait for an answer
-        # More than one holder only where an older version handed over a connection whose id it could not tell before.
         self._own: Counter[str] = Counter()
-        self._successors: set[str] = set()
+        self._successors: dict[str, set[int]] = {}  # the numbers of the claims and connections that hold an id there
+        self._numbers = count()
 
     def is_open(self, request_id: str) -> bool:
         """Return whether a request with this id is open here, or at a process that takes over from this one."""
@@ -67,7 +77,11 @@
             decide(ClaimResult.GRANTED)
             return
         self.undecided += 1
-        self.authority.ask(request_id, lambda result: self._decided(request_id, result, decide))
+        self.authority.ask(
+            request_id,
+            lambda result: self._decided(request_id, result, decide),
+            lambda: self._release_if_free(request_id),
+        )
 
     def adopt(self, request_id: str) -> None:
         """Record the id of a connection that was handed over to this process."""
@@ -86,20 +100,23 @@
         if self.is_open(request_id):
             decide(ClaimResult.IN_USE)
             return
-        self._successors.add(request_id)
+        number = self._hold_for_successor(request_id)
         if self.authority is None:
             decide(ClaimResult.GRANTED)
-        else:
-            self.authority.ask(request_id, lambda result: self._decided_for_successor(request_id, result, decide))
+            return
+        self.authority.ask(
+            request_id,
+            lambda result: self._decided_for_successor(request_id, number, result, decide),
+            lambda: self._release_if_free(request_id),
+        )
 
     def hand_over(self, request_id: str) -> None:
         """Record that the process that takes over has the connection with this id; this process releases it itself."""
-        self._successors.add(request_id)
+        self._hold_for_successor(request_id)
 
     def release_for_successor(self, request_id: str) -> None:
-        """Free an id that the process that takes over has given back."""
-        if request_id in self._successors:
-            self._successors.discard(request_id)
+        """Free an id that the process that takes over does not hold any more; one that it did not hold is ignored."""
+        if self._successors.pop(request_id, None):
             self._release_if_free(request_id)
 
     def successor_lost(self) -> None:
@@ -109,15 +126,28 @@
 
     # Internal methods
 
+    def _hold_for_successor(self, request_id: str) -> int:
+        number = next(self._numbers)
+        self._successors.setdefault(request_id, set()).add(number)
+        return number
+
     def _decided(self, request_id: str, result: ClaimResult, decide: Decide) -> None:
         self.undecided -= 1
         if result is not ClaimResult.GRANTED:
             self._discard_own(request_id)
+        if result is ClaimResult.IN_USE:
+            # A connection with this id may have been handed over, and have ended, while the claim waited.
+            self._release_if_free(request_id)
         decide(result)
 
-    def _decided_for_successor(self, request_id: str, result: ClaimResult, decide: Decide) -> None:
-        if result is not ClaimResult.GRANTED:
-            self._successors.discard(request_id)
+    def _decided_for_successor(self, request_id: str, number: int, result: ClaimResult, decide: Decide) -> None:
+        held = self._successors.get(request_id, set())
+        if result is not ClaimResult.GRANTED and number in held:
+            held.discard(number)
+            if not held:
+                del self._successors[request_id]
+        if result is not ClaimResult.UNDECIDED:
+            self._release_if_free(request_id)  # also one that was granted after the successor had given it up
         decide(result)
 
     def _discard_own(self, request_id: str) -> None:
@@ -130,6 +160,14 @@
             self.authority.release(request_id)
 
 
+class _Claim(msgspec.Struct, frozen=True):
+    """A claim that waits for its answer."""
+
+    decide: Decide
+    settle: Callable[[], None]
+    timer: Timer
+
+
 class RemoteAuthority:
     """Asks the process that this one takes over from, over the connection between the two."""
 
@@ -137,39 +175,38 @@
         self.reactor = reactor
         self.send = send
         self._claims = 0
-        self._waiting: dict[int, tuple[str, Decide, Timer]] = {}  # by the number of the claim
-        self._late: dict[int, str] = {}  # the ids of claims that timed out, whose answers may still come
+        self._waiting: dict[int, _Claim] = {}  # by number
+        self._late: dict[int, Callable[[], None]] = {}  # how to settle the claims that timed out, by number
 
-    def ask(self, request_id: str, decide: Decide) -> None:
-        """Ask for an id; ``decide`` is called once the answer has come, or is late."""
+    def ask(self, request_id: str, decide: Decide, settle: Callable[[], None]) -> None:
+        """Ask for an id; ``decide`` is called once the answer has come or is late, ``settle`` when a late one comes."""
         self._claims += 1
         number = self._claims
         timer = self.reactor.callLater(CLAIM_TIMEOUT_S, self._timed_out, number)
-        self._waiting[number] = request_id, decide, timer
+        self._waiting[number] = _Claim(decide, settle, timer)
         self.send(ClaimId(number, request_id))
 
     def release(self, request_id: str) -> None:
-        """Give back an id that was granted."""
+        """Tell the old process that no request or claim holds this id here."""
         self.send(ReleaseId(request_id))
 
     def answered(self, message: ClaimDecided) -> None:
-        """Handle the answer to a claim; an id that is granted too late is given back."""
-        if waiting := self._waiting.pop(message.number, None):
-            _, decide, timer = waiting
-            timer.cancel()
-            decide(ClaimResult.GRANTED if message.granted else ClaimResult.IN_USE)
-        elif (late := self._late.pop(message.number, None)) is not None and message.granted:
-            self.release(late)
+        """Handle the answer to a claim, which may have timed out."""
+        if claim := self._waiting.pop(message.number, None):
+            claim.timer.cancel()
+            claim.decide(ClaimResult.GRANTED if message.granted else ClaimResult.IN_USE)
+        elif settle := self._late.pop(message.number, None):
+            settle()
 
     def lost(self) -> None:
         """Grant all claims that wait: the process that was asked is gone with its requests."""
         waiting, self._waiting = self._waiting, {}
         self._late.clear()
-        for _, decide, timer in waiting.values():
-            timer.cancel()
-            decide(ClaimResult.GRANTED)
+        for claim in waiting.values():
+            claim.timer.cancel()
+            claim.decide(ClaimResult.GRANTED)
 
     def _timed_out(self, number: int) -> None:
-        request_id, decide, _ = self._waiting.pop(number)
-        self._late[number] = request_id
-        decide(ClaimResult.UNDECIDED)
+        claim = self._waiting.pop(number)
+        self._late[number] = claim.settle
+        claim.decide(ClaimResult.UNDECIDED)
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import deque
+from collections.abc import Callable
 
 import pytest
 from hypothesis import settings
@@ -237,7 +238,7 @@
         self.asked: list[tuple[str, Decide]] = []
         self.released: list[str] = []
 
-    def ask(self, request_id: str, decide: Decide) -> None:
+    def ask(self, request_id: str, decide: Decide, settle: Callable[[], None]) -> None:
         self.asked.append((request_id, decide))
 
     def release(self, request_id: str) -> None:
@@ -282,18 +283,37 @@
 
 def test_a_late_answer_of_the_old_process_leaves_no_id_taken():
     reactor, sent, results = FakeReactor(), [], []
-    remote = RemoteAuthority(reactor, sent.append)
-    remote.ask("a", results.append)
+    ids = RequestIds()
+    ids.authority = remote = RemoteAuthority(reactor, sent.append)
+    ids.claim("a", results.append)
     reactor.advance(CLAIM_TIMEOUT_S)
-    assert results == [ClaimResult.UNDECIDED]
+    assert results == [ClaimResult.UNDECIDED] and not ids.is_open("a")
     remote.answered(ClaimDecided(1, True))
     assert sent == [ClaimId(1, "a"), ReleaseId("a")]
-    remote.ask("b", results.append)
+    ids.claim("b", results.append)
     remote.answered(ClaimDecided(1, True))
     remote.lost()
     assert results == [ClaimResult.UNDECIDED, ClaimResult.GRANTED] and not reactor.getDelayedCalls()
 
 
+def test_an_id_that_is_refused_while_its_connection_is_handed_over_is_free_at_the_end():
+    # The model found it: the old process kept the id, as the new one held it twice when the connection ended.
+    reactor = FakeReactor()
+    old = TestProcess(reactor, None)
+    new = TestProcess(reactor, old)
+    old.open("a")
+    new.open("a")
+    old.hand_over("a")
+    new.take_from_older()
+    new.close("a")
+    for _ in range(4):
+        while new.to_older:
+            new.deliver_to_older()
+        while old.to_newer:
+            new.take_from_older()
+    assert not old.ids.is_open("a") and not new.ids.is_open("a") and not new.clients
+
+
 def test_an_id_stays_taken_while_an_attempt_of_a_client_that_left_is_out():
     # Where attempts may not be cancelled, one that is written goes on; the same id beside it is a second copy.
     bench = Bench()
