--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -351,13 +351,22 @@
         self.entries: dict[str, tuple[int, dict[str, Any]]] = {}
         self.calls: set[_Call] = set()
         self.address = ""
+        self.server: Any = None
 
     async def start(self) -> Discovery:
-        """Listen on a free port."""
-        server = await asyncio.get_running_loop().create_server(lambda: _Call(self), "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        """Listen: on a free port at first, and on the same one after it was down."""
+        port = int(self.address.rpartition(":")[2] or 0)
+        self.server = await asyncio.get_running_loop().create_server(lambda: _Call(self), "127.0.0.1", port)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         return self
 
+    def go_down(self) -> None:
+        """Go down: watches and calls end with a reset, and new ones are refused."""
+        self.record.write("discovery", "is down")
+        self.server.close()
+        for call in list(self.calls):
+            call.reset()
+
     def put(self, server: TileServer, status: str = "active") -> None:
         """Enter a tile server, or change its status, and tell all open watches."""
         self.index += 1
@@ -557,10 +566,10 @@
         self.servers.append(server)
         self.discovery.put(server)
 
-    async def start_relay(self, name: str, sockets: int = 1024) -> Relay:
-        """Start a relay process at the clients' address, and wait until it serves."""
+    async def start_relay(self, name: str, known: dict[str, Any] | None = None, sockets: int = 1024) -> Relay:
+        """Start a relay process at the clients' address, and wait until it serves; ``known``: the list in its file."""
         config = self.folder / f"{name}.json"
-        known = self.discovery.known()
+        known = known or self.discovery.known()
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": sockets}
         config.write_text(
             json.dumps(
