--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Case 7: a new version that starts while discovery is down sends to a server that the relay knows to be draining."""
+"""Case 7: a relay that is drained while a new version takes over goes on holding clients that nobody moves."""
 
 from __future__ import annotations
 
@@ -7,65 +7,51 @@
 import sys
 from pathlib import Path
 
-from stand_ins import BROKEN, HELD, CannotRunError, Platform, ServedConnection, run_case, settings, trouble, until
+from stand_ins import BROKEN, HELD, CannotRunError, Client, Platform, run_case, settings, trouble, until
 
-GRACE_S = 1.0  # Rules.DrainGrace
-BINDING_S = 2.0  # what discovery tells binds a new version from so long after its yes
+CLIENTS = 40
+MOVED_WITHIN_S = 4.0  # after LAMEDUCK
 SLACK_S = 0.05  # each time limit is longer by this on sockets
-OUTAGE_S = 12.0
-BETWEEN_REQUESTS_S = 0.05
+TERM_AFTER_START_S = 6.0  # the old process gets SIGTERM when the time for the new one's yes is over
+WATCHED_S = 10.0  # after LAMEDUCK
 
 
 async def play(platform: Platform) -> int:
-    """Tell the relay that a tile server drains, and upgrade it while discovery is down."""
-    record, loop = platform.record, asyncio.get_running_loop()
+    """Drain the relay, by the operators' address of the process that says yes, in the middle of an upgrade."""
+    record = platform.record
     await platform.start_servers(4)
-    before = platform.discovery.known()  # the list that the new version's file holds: it may be out of date
-    draining = platform.servers[3]
-    sends: list[float] = []  # of new work to the draining tile server
-
-    def turn_away(connection: ServedConnection, text: str) -> None:
-        """Turn new work away, as a draining tile server does."""
-        sends.append(record.now())
-        connection.send("BUSY")
-        connection.transport.close()
-
-    async def ask() -> None:
-        """Have clients come, ask, and leave again."""
-        while True:
-            client = await platform.client(platform.first_line())
-            loop.call_later(1.0, client.leave)
-            await asyncio.sleep(BETWEEN_REQUESTS_S)
-
-    old = await platform.start_relay("old")
-    platform.tasks.append(asyncio.create_task(ask()))
-    await asyncio.sleep(2)
-    draining.on_open = turn_away
-    platform.discovery.put(draining, "leaving")
-    told = record.now()
-    await asyncio.sleep(2)
-    late = [at for at in sends if at > told + GRACE_S + SLACK_S]
-    record.note(f"told at {told:.2f} s that {draining.name} drains; the old process sent {len(late)} requests too late")
-    if late:
-        return BROKEN
+    relay = old = await platform.start_relay("old")
+    for _ in range(CLIENTS):
+        client = await platform.client(platform.first_line())
+        await until(lambda client=client: bool(client.answers or client.ended_at), 4, "an answer")
     if trouble():
-        platform.discovery.go_down()
-        loop.call_later(OUTAGE_S, lambda: platform.tasks.append(asyncio.create_task(platform.discovery.start())))
-    down = record.now()
-    new = await platform.start_relay("new", before)
-    yes = record.now()
-    record.note(f"the new process said yes {yes - down:.2f} s after discovery went down")
-    old.signal(signal.SIGTERM)
-    await until(lambda: old.process.returncode is not None, 3.7, "the end of the old process")
-    await asyncio.sleep(down + OUTAGE_S - record.now())
-    late = [at for at in sends if at > max(told, yes + BINDING_S) + GRACE_S + SLACK_S]
-    asked = [client for client in platform.clients if client.asked_at > yes + BINDING_S + GRACE_S + SLACK_S]
-    if not asked:
-        raise CannotRunError("no request came in the time that counts")
-    last = f", the last {late[-1] - told:.1f} s after it was told" if late else ""
-    record.note(f"{len(late)} of {len(asked)} requests went to the draining {draining.name} too late{last}")
-    record.note(f"the new process says {(await new.call('PING')).strip()!r}")
-    return BROKEN if late else HELD
+        started = record.now()
+        relay = await platform.start_relay("new")
+        asyncio.get_running_loop().call_later(started + TERM_AFTER_START_S - record.now(), old.signal, signal.SIGTERM)
+    await asyncio.sleep(0.5)
+    standing = [client for client in platform.clients if client.open]
+    answer = (await relay.call("LAMEDUCK")).strip()
+    called = record.now()
+    record.note(f"{len(standing)} clients stand; LAMEDUCK at {called:.2f} s is answered {answer!r}")
+    if not answer.startswith("ok") or len(standing) < CLIENTS:
+        raise CannotRunError("the relay did not begin to drain")
+    await asyncio.sleep(MOVED_WITHIN_S + SLACK_S)
+    held = [client for client in standing if client.open]
+    record.note(
+        f"{record.now() - called:.2f} s later: {len(held)} not moved; PING: {(await relay.call('PING')).strip()!r}"
+    )
+    await asyncio.sleep(called + WATCHED_S - record.now())
+    still = [client for client in standing if client.open]
+    record.note(
+        f"{record.now() - called:.2f} s later: {len(still)} not moved; PING: {(await relay.call('PING')).strip()!r}"
+    )
+    record.note(f"{moved(standing)} were moved, {sum(client.cut for client in standing)} cut off")
+    return BROKEN if held else HELD
+
+
+def moved(clients: list[Client]) -> int:
+    """Return how many clients were sent MOVE."""
+    return sum(client.moved for client in clients)
 
 
 if __name__ == "__main__":
