--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,75 +1,57 @@
-"""Case 8: a request that crosses the end of a connection that rests after its PING is read and gets no answer."""
+"""Case 8: a relay that is drained while a new version takes over goes on holding clients that nobody moves."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
-from typing import Any
 
-from stand_ins import BROKEN, HELD, CannotRunError, Client, DelayProxy, Platform, Record, run_case, settings, trouble
+from stand_ins import BROKEN, HELD, CannotRunError, Client, Platform, run_case, settings, trouble, until
 
-ONE_WAY_S = 0.004  # between the front's building and the relay's: 2.8 to 5.2 ms
-REST_S = 2.5  # after its PONG the relay ends a connection that says nothing
-CONNECTIONS = 30
-DEADLINE_MS = 3000
-
-
-class FrontConnection(Client):
-    """A connection that the front keeps: it has asked PING, rests, and is then given a client's request."""
-
-    def __init__(self, record: Record, number: int, first_line: str, pause: float) -> None:
-        super().__init__(record, number, first_line)
-        self.pause = pause
-        self.asked_in_time = False  # the request was sent before the front knew of the connection's end
-        self.ponged = False
-
-    def connection_made(self, transport: Any) -> None:
-        """Ask PING."""
-        super(Client, self).connection_made(transport)
-        self.send("PING")
-
-    def line(self, text: str) -> None:
-        """Rest after PONG, and then pass the request on."""
-        if self.ponged:
-            super().line(text)
-        elif text == "PONG":
-            self.ponged = True
-            asyncio.get_running_loop().call_later(self.pause, self.pass_on)
-
-    def pass_on(self) -> None:
-        """Send the request, unless the connection has been ended."""
-        if not self.ended_at and not self.transport.is_closing():
-            self.asked_in_time = True
-            self.ask()
-
-    def eof_received(self) -> bool:
-        """Take the relay's end, and close."""
-        self.record.write(f"client {self.number}", "the relay's end came")
-        return False
+CLIENTS = 40
+MOVED_WITHIN_S = 4.0  # after LAMEDUCK
+SLACK_S = 0.05  # each time limit is longer by this on sockets
+TERM_AFTER_START_S = 6.0  # the old process gets SIGTERM when the time for the new one's yes is over
+WATCHED_S = 10.0  # after LAMEDUCK
 
 
 async def play(platform: Platform) -> int:
-    """Rest on connections, and send requests that cross their end."""
-    record, loop = platform.record, asyncio.get_running_loop()
-    await platform.start_servers(3)
-    await platform.start_relay("n0")
-    proxy = await DelayProxy(platform.port, ONE_WAY_S).start()
-    for number in range(CONNECTIONS):
-        # Crossing: sent up to two one-way times before the relay's end arrives here. Else: half a second earlier.
-        rest = REST_S - ONE_WAY_S * (0.5 + number / CONNECTIONS) if trouble() else REST_S - 0.5
-        client = FrontConnection(record, number + 1, platform.first_line(DEADLINE_MS), rest)
-        platform.clients.append(client)
-        await loop.create_connection(lambda client=client: client, "127.0.0.1", proxy.port)
-        await asyncio.sleep(0.03)
-    await asyncio.sleep(REST_S + DEADLINE_MS / 1000 + 1)
-    asked = [client for client in platform.clients if isinstance(client, FrontConnection) and client.asked_in_time]
-    lost = [client for client in asked if not client.answers]
-    record.note(f"{len(asked)} of {CONNECTIONS} requests were sent before the connection's end was known")
-    record.note(f"{sum(client.up for client in asked)} came up, {len(asked) - len(lost)} answered, {len(lost)} lost")
-    if not asked:
-        raise CannotRunError("no request was sent")
-    return BROKEN if lost else HELD
+    """Drain the relay, by the operators' address of the process that says yes, in the middle of an upgrade."""
+    record = platform.record
+    await platform.start_servers(4)
+    relay = old = await platform.start_relay("old")
+    for _ in range(CLIENTS):
+        client = await platform.client(platform.first_line())
+        await until(lambda client=client: bool(client.answers or client.ended_at), 4, "an answer")
+    if trouble():
+        started = record.now()
+        relay = await platform.start_relay("new")
+        asyncio.get_running_loop().call_later(started + TERM_AFTER_START_S - record.now(), old.signal, signal.SIGTERM)
+    await asyncio.sleep(0.5)
+    standing = [client for client in platform.clients if client.open]
+    answer = (await relay.call("LAMEDUCK")).strip()
+    called = record.now()
+    record.note(f"{len(standing)} clients stand; LAMEDUCK at {called:.2f} s is answered {answer!r}")
+    if not answer.startswith("ok") or len(standing) < CLIENTS:
+        raise CannotRunError("the relay did not begin to drain")
+    await asyncio.sleep(MOVED_WITHIN_S + SLACK_S)
+    held = [client for client in standing if client.open]
+    record.note(
+        f"{record.now() - called:.2f} s later: {len(held)} not moved; PING: {(await relay.call('PING')).strip()!r}"
+    )
+    await asyncio.sleep(called + WATCHED_S - record.now())
+    still = [client for client in standing if client.open]
+    record.note(
+        f"{record.now() - called:.2f} s later: {len(still)} not moved; PING: {(await relay.call('PING')).strip()!r}"
+    )
+    record.note(f"{moved(standing)} were moved, {sum(client.cut for client in standing)} cut off")
+    return BROKEN if held else HELD
+
+
+def moved(clients: list[Client]) -> int:
+    """Return how many clients were sent MOVE."""
+    return sum(client.moved for client in clients)
 
 
 if __name__ == "__main__":
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -377,6 +377,7 @@
         self.moved = False
         self.sent_lines = self.returned_lines = 0
         self.unanswered_since: float | None = None
+        self.longest_wait = 0.0  # of a line that was returned
         self.timer: Any = None
 
     @property
@@ -425,6 +426,8 @@
             self.transport.close()
         elif text.startswith("M "):
             self.returned_lines += 1
+            if self.unanswered_since is not None:
+                self.longest_wait = max(self.longest_wait, self.record.now() - self.unanswered_since)
             self.unanswered_since = None
 
     def _send_line(self) -> None:
@@ -511,8 +514,9 @@
 class Relay:
     """One process of the relay, started by the deploy file's command."""
 
-    def __init__(self, platform: Platform, name: str, port: int, admin: int, config: Path) -> None:
-        self.platform, self.name, self.port, self.admin, self.config = platform, name, port, admin, config
+    def __init__(self, platform: Platform, name: str, port: int, config: Path, folder: Path) -> None:
+        self.platform, self.name, self.port, self.config, self.folder = platform, name, port, config, folder
+        self.admin = free_port()
         self.process: Any = None
         self.log: list[str] = []
 
@@ -521,12 +525,12 @@
         command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         env = {
             "PATH": os.environ.get("PATH", "/usr/bin:/bin"),
-            "PROXY_NAME": "n0",
+            "PROXY_NAME": self.config.stem,
             "PROXY_LISTEN": f"127.0.0.1:{self.port}",
             "PROXY_DISCOVERY": self.platform.discovery.address,
             "PROXY_ADMIN": f"127.0.0.1:{self.admin}",
             "PROXY_CONFIG": str(self.config),
-            "TMPDIR": str(self.platform.run_folder),
+            "TMPDIR": str(self.folder),
         }
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh",
@@ -577,14 +581,12 @@
 
     def __init__(self, record: Record, folder: Path, relay_settings: dict[str, Any]) -> None:
         self.record, self.folder, self.settings = record, folder, relay_settings
-        self.run_folder = folder / "run"
-        self.run_folder.mkdir()
         self.discovery = Discovery(record)
         self.servers: list[TileServer] = []
         self.relays: list[Relay] = []
         self.clients: list[Client] = []
         self.tasks: list[asyncio.Task[Any]] = []
-        self.port = free_port()
+        self.ports: dict[int, int] = {}  # where clients come, by the relay's number
 
     async def start_servers(self, count: int, kind: type[TileServer] = TileServer) -> None:
         """Start discovery and tile servers, and list them."""
@@ -594,20 +596,26 @@
             self.servers.append(server)
             self.discovery.put(server)
 
-    async def start_relay(self, name: str) -> Relay:
-        """Start a relay process at the clients' address, and wait until it serves."""
-        config = self.folder / f"{name}.json"
+    async def start_relay(self, name: str, number: int = 0) -> Relay:
+        """Start a process of a relay, and wait until it serves.
+
+        Processes of one relay have its number, and with it the clients' address and a folder in common.
+        """
+        port = self.ports.setdefault(number, free_port())
+        folder = self.folder / f"run-{number}"
+        folder.mkdir(exist_ok=True)
+        config = self.folder / f"n{number}.json"
         content = {
-            "name": "n0",
-            "listen": f"127.0.0.1:{self.port}",
+            "name": f"n{number}",
+            "listen": f"127.0.0.1:{port}",
             "discovery": self.discovery.address,
-            "seed": "8c1f30d27a5be964",
+            "seed": f"8c1f30d27a5be96{4 + number}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self.discovery.known(),
-            "settings": self.settings,
+            "settings": self.settings | {"Me": number},
         }
         config.write_text(json.dumps(content))
-        return await Relay(self, name, self.port, free_port(), config).start()
+        return await Relay(self, name, port, config, folder).start()
 
     def first_line(self, wait_ms: int = 3000, request_class: str = "browse", more: str = "") -> str:
         """Return the first line of the next client: its id, key and group are its own."""
@@ -620,7 +628,7 @@
         """Connect a client to the relay, and have it send its first line."""
         client = Client(self.record, len(self.clients) + 1, first_line)
         self.clients.append(client)
-        await asyncio.get_running_loop().create_connection(lambda: client, "127.0.0.1", port or self.port)
+        await asyncio.get_running_loop().create_connection(lambda: client, "127.0.0.1", port or self.ports[0])
         return client
 
     async def stop(self) -> None:
