--- a/review/7/case.py
+++ b/review/7/case.py
@@ -18,6 +18,8 @@
 CLIENTS = 110  # of each relay; with those of two others under a third of 1,024 descriptors
 ARRIVALS_PER_S = 4.0  # at each relay, in the mean
 RETURN_S = (0.091, 0.91)  # after a break clients come again within so long
+NOTICED_S = 1.0  # after its death the front sends no clients to a relay any more; the site file says 0.8 to 4 s
+REFUSED_WAIT_S = (0.015, 0.12)  # of a client whose connection is refused; twice as long each time
 LOST_AFTER_S = 0.55  # an answer so long after a request's time is lost: half a second, and 50 ms on sockets
 HELD_BACK_S = 1.05  # a line may be held back for a second, and 50 ms on sockets
 WATCHED_S = 14.0
@@ -44,11 +46,6 @@
         """Return how long after its time the request was answered, or is still without an answer."""
         return (self.answered_at or self.record.now()) - self.asked_at - self.wait
 
-    def held_back(self) -> float:
-        """Return for how long a line was held back, or is."""
-        waits = self.record.now() - self.unanswered_since if self.open and self.unanswered_since is not None else 0.0
-        return max(self.longest_wait, waits)
-
 
 async def play(platform: Platform) -> int:
     """Fill three relays, kill two, and have their clients come to the third."""
@@ -70,8 +67,13 @@
             await connect(relay)
             await asyncio.sleep(draw.expovariate(ARRIVALS_PER_S))
 
-    async def come_again(after: float) -> None:
-        await asyncio.sleep(after)
+    async def come_again(died: float) -> None:
+        """Come through the front, which spreads clients over the relays that it takes for alive."""
+        await asyncio.sleep(draw.uniform(*RETURN_S))
+        wait = draw.uniform(*REFUSED_WAIT_S)
+        while record.now() < died + NOTICED_S and draw.randrange(RELAYS) > 0:
+            await asyncio.sleep(wait)  # sent to a dead relay, and refused
+            wait *= 2
         await connect(0, ",again=1")
 
     await asyncio.gather(*(fill(number) for number in range(RELAYS)))
@@ -82,7 +84,8 @@
         standing = sum(client.open for client in before if client.relay > 0)
         for relay in relays[1:]:
             relay.signal(signal.SIGKILL)
-        await asyncio.gather(*(come_again(draw.uniform(*RETURN_S)) for _ in range(standing)))
+        died = record.now()
+        await asyncio.gather(*(come_again(died) for _ in range(standing)))
     await asyncio.sleep(WATCHED_S)
     returned = platform.clients[len(before) :]
     lost = [client for client in platform.clients if client.lateness() > LOST_AFTER_S]
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -115,6 +115,7 @@
     def __init__(self, path: Path) -> None:
         self.start = time.monotonic()
         self.file = path.open("w", encoding="utf-8")
+        self.reached: dict[str, float] = {}  # when a client's line reached its tile server, until it was returned
 
     def now(self) -> float:
         """Return the seconds since the start."""
@@ -186,6 +187,7 @@
     def line(self, text: str) -> None:
         """Answer a probe or the first line; return every later line at once."""
         if self.up:
+            self.server.record.reached[text] = self.server.record.now()
             self.send(text)
         elif text in ("PING", "STATS"):
             open_now = sum(each.up for each in self.server.connections)
@@ -375,9 +377,9 @@
         self.asked_at = self.answered_at = self.ended_at = 0.0
         self.answers: list[str] = []
         self.moved = False
-        self.sent_lines = self.returned_lines = 0
-        self.unanswered_since: float | None = None
-        self.longest_wait = 0.0  # of a line that was returned
+        self.sent_lines = 0
+        self.under_way: dict[str, float] = {}  # lines that were not returned yet, and when they were sent
+        self.longest_hold = 0.0  # of a line one way, to the tile server or back
         self.timer: Any = None
 
     @property
@@ -425,17 +427,25 @@
             self.moved = True
             self.transport.close()
         elif text.startswith("M "):
-            self.returned_lines += 1
-            if self.unanswered_since is not None:
-                self.longest_wait = max(self.longest_wait, self.record.now() - self.unanswered_since)
-            self.unanswered_since = None
+            now = self.record.now()
+            sent = self.under_way.pop(text, now)
+            reached = self.record.reached.pop(text, now)
+            self.longest_hold = max(self.longest_hold, reached - sent, now - reached)
+
+    def held_back(self) -> float:
+        """Return for how long the relay held a line back one way, or does: a tile server returns each at once."""
+        now = self.record.now()
+        holds = (
+            [now - self.record.reached.get(text, sent) for text, sent in self.under_way.items()] if self.open else []
+        )
+        return max([self.longest_hold, *holds])
 
     def _send_line(self) -> None:
         if self.open and not self.transport.is_closing():
             self.sent_lines += 1
-            if self.unanswered_since is None:
-                self.unanswered_since = self.record.now()
-            self.send(f"M {self.id} {self.sent_lines}")
+            text = f"M {self.id} {self.sent_lines}"
+            self.under_way[text] = self.record.now()
+            self.send(text)
             self.timer = asyncio.get_running_loop().call_later(LINE_INTERVAL_S, self._send_line)
 
     def connection_lost(self, exc: Exception | None) -> None:
