Ask for a repeat's window and scope again before its first byte is written

Its first attempt ended with ERR after 0.6 s; the repeat's connection came up 1.0 s later, and its line was written 1.6 s after the first, where servers discard repeats for 1 s.

Cause: RequestGuard asked for the window when an attempt began (check_send), and not when its line was written (may_write); Caps.DialTimeout lies between the two. Same class: zone and cell of the first attempt were those of the list now and not of the moment of sending; a held repeat whose window was over waited for its deadline; a connection that could not be used any more was waited for, and its server suspected.

Change: check_write asks for end, deadline, window, scope and drain; time_to_write bounds the connect; results that are no server's fault are not_sent. The module gives up what no server may get, and keeps zone and cell with each attempt.

Ruled out: the module's moment of sending (same as the guard's), and a line that stands written in the relay. test_request_guard.py asks check_write for the result where it asked may_write for a bool: stricter.

--- a/scaledeal/net/attempt.py
+++ b/scaledeal/net/attempt.py
@@ -73,13 +73,19 @@
         self.result_if_lost = api.Result.RESET  # the result if an established connection ended now
         self.oldest_unanswered_at = 0  # when the oldest message without an answer was sent, in ns; 0 if there is none
         self.client_ended = False  # the client has ended its sending
+        self.write_by = 0  # when the first line has to be written at the latest, in ns; 0 without such a limit
         self.connector: Connector | None = None
         self.timer: Timer | None = None
 
     def begin(self, address: str, wait: int) -> LineAttempt:
         """Connect; the whole attempt may wait ``wait`` nanoseconds for its answer."""
         self.timer = self.context.reactor.callLater(wait / NS_PER_S, self._timed_out)
-        self.connector = dial(self.link, address, min(wait, self.context.dial_timeout) / NS_PER_S)
+        connect_timeout = min(wait, self.context.dial_timeout)
+        time_to_write = self.events.time_to_write()
+        if time_to_write is not None and time_to_write < connect_timeout:
+            connect_timeout = time_to_write
+            self.write_by = self.context.now() + time_to_write
+        self.connector = dial(self.link, address, connect_timeout / NS_PER_S)
         return self
 
     # Called by the transaction
@@ -148,8 +154,9 @@
         """Send the first line, unless the guard forbids it."""
         if self.stage is Stage.CONNECTING:
             self.connector = None
-            if not self.events.may_write():
-                self._stop(api.Result.CONNECT_FAILED)
+            forbidden = self.events.check_write()
+            if forbidden is not None:
+                self._stop(forbidden)
                 return
             self.stage = Stage.SENDING
             self.link.send_first_line(self.line, self._first_line_written)
@@ -159,9 +166,10 @@
     def connect_failed(self, local: bool) -> None:
         """Report that the connection was not established."""
         self.connector = None
-        # A local failure has a result of its own: a process without free descriptors would otherwise suspect one
-        # server after another.
-        self._report_end(self.result or (api.Result.NOT_SENT if local else api.Result.CONNECT_FAILED), False)
+        # What is not the server's fault has a result of its own: a process without free descriptors, or a repeat whose
+        # time is short, would otherwise have one server after another suspected.
+        not_sent = local or 0 < self.write_by <= self.context.now()
+        self._report_end(self.result or (api.Result.NOT_SENT if not_sent else api.Result.CONNECT_FAILED), False)
 
     def line_received(self, line: bytes) -> None:
         """Handle a line of the application server."""
--- a/scaledeal/net/request_guard.py
+++ b/scaledeal/net/request_guard.py
@@ -34,6 +34,7 @@
 
     server: str
     sent_at: int  # when the attempt began, in ns
+    location: Location | None  # of the server when the attempt began; None if no list has named it
 
 
 class GuardedRequest(msgspec.Struct):
@@ -48,6 +49,7 @@
     over: bool = False  # answered, or its client left
     attempt_server: str = ""  # the server of the current attempt; empty if there is none
     attempt_began: int = 0  # ns
+    attempt_location: Location | None = None
     may_have_run: SentAttempt | None = None  # the first attempt that may have run
 
 
@@ -112,21 +114,38 @@
     def attempt_begun(self, request: GuardedRequest, server: str) -> None:
         """Record that an attempt has begun."""
         request.attempt_server, request.attempt_began = server, self.now()
+        request.attempt_location = self.locations.get(server)
 
-    def may_write(self, request: GuardedRequest) -> bool:
-        """Return whether the current attempt may write its first byte, now that its connection is established."""
+    def time_to_write(self, request: GuardedRequest) -> int | None:
+        """Return the ns left in which a repeat may be written; None if only the request's deadline limits it."""
+        if request.may_have_run is None or request.semantics is not api.Semantics.KEYED:
+            return None
+        return max(0, request.may_have_run.sent_at + request.window - self.now())
+
+    def check_write(self, request: GuardedRequest) -> api.Result | None:
+        """Return None if the current attempt may write its first byte now, else the result to report."""
+        # A connection may be established long after the attempt began, so everything is checked again.
+        server = request.attempt_server
+        late = f"{server}, connected late"
         if request.over:
-            return self._prevent(Rule.SENT_AFTER_END, request, f"{request.attempt_server}, connected late")
-        if self.now() >= request.deadline:
-            return self._prevent(Rule.SENT_TOO_LATE, request, f"{request.attempt_server}, connected late")
-        if not request.established_before and self._is_closed_to_new(request.attempt_server):
-            return self._prevent(Rule.SENT_TO_DRAINING, request, f"{request.attempt_server}, connected late")
-        return True
+            self.invariants.record_prevented(Rule.SENT_AFTER_END, request.request_id, late)
+        elif self.now() >= request.deadline:
+            self.invariants.record_prevented(Rule.SENT_TOO_LATE, request.request_id, late)
+        elif not self._may_repeat(request, server):
+            self.invariants.record_prevented(
+                Rule.UNSAFE_REPEAT, request.request_id, f"{late} after {request.may_have_run}"
+            )
+        elif not request.established_before and self._is_closed_to_new(server):
+            self.invariants.record_prevented(Rule.SENT_TO_DRAINING, request.request_id, late)
+            return api.Result.CONNECT_FAILED
+        else:
+            return None
+        return api.Result.NOT_SENT
 
     def attempt_ended(self, request: GuardedRequest, result: api.Result) -> None:
         """Record the result of the current attempt, which is over."""
         if request.attempt_server and result not in NEVER_RAN and request.may_have_run is None:
-            request.may_have_run = SentAttempt(request.attempt_server, request.attempt_began)
+            request.may_have_run = SentAttempt(request.attempt_server, request.attempt_began, request.attempt_location)
         request.attempt_server = ""
 
     def may_refuse(self, request: GuardedRequest) -> bool:
@@ -137,7 +156,9 @@
             return True
         if request.may_have_run is None and not request.attempt_server:
             return True
-        return self._prevent(Rule.UNSAFE_REFUSAL, request, f"{request.may_have_run or request.attempt_server}")
+        first = request.may_have_run or request.attempt_server
+        self.invariants.record_prevented(Rule.UNSAFE_REFUSAL, request.request_id, f"{first}")
+        return False
 
     def answered(self, request: GuardedRequest) -> None:
         """Record the final answer, or the end of an established connection, which has had its answer before."""
@@ -182,7 +203,7 @@
             return False
         if request.scope is api.Scope.ALL:
             return True
-        location, first_location = self.locations.get(server), self.locations.get(before.server)
+        location, first_location = self.locations.get(server), before.location
         if location is None or first_location is None:
             return server == before.server
         return (
@@ -195,8 +216,3 @@
         """Return whether the server has been draining for longer than the grace."""
         since = self.draining.get(server)
         return since is not None and self.now() - since > self.grace
-
-    def _prevent(self, rule: Rule, request: GuardedRequest, detail: str) -> bool:
-        """Count a prevented violation, and return False."""
-        self.invariants.record_prevented(rule, request.request_id, detail)
-        return False
--- a/scaledeal/net/sides.py
+++ b/scaledeal/net/sides.py
@@ -36,8 +36,11 @@
 
     server: str  # the name of the application server that is attempted
 
-    def may_write(self) -> bool:
-        """Return whether the first line may be written, now that the connection is up."""
+    def time_to_write(self) -> int | None:
+        """Return the ns within which the first line has to be written; None if only the attempt's wait limits it."""
+
+    def check_write(self) -> api.Result | None:
+        """Return None if the first line may be written now, else the result with which the attempt has to end."""
 
     def request_written(self) -> None:
         """Record that the last byte of the first line is written: from here on the request may have run."""
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -183,9 +183,13 @@
 
     # Events of the attempt
 
-    def may_write(self) -> bool:
-        """Return whether the attempt's first line may be written now."""
-        return self.host.guard.may_write(self.guarded)
+    def time_to_write(self) -> int | None:
+        """Return the ns within which the attempt's first line has to be written; None without such a limit."""
+        return self.host.guard.time_to_write(self.guarded)
+
+    def check_write(self) -> api.Result | None:
+        """Return None if the attempt's first line may be written now, else the result to end the attempt with."""
+        return self.host.guard.check_write(self.guarded)
 
     def request_written(self) -> None:
         """Count an attempt whose first line is completely written."""
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -100,6 +100,8 @@
 
     server: Server
     sent_at: int
+    zone: int  # of the server when the attempt was sent, as is the cell
+    cell: int
     result: api.Result | None = None
 
 
@@ -638,23 +640,34 @@
         quota = self.settings.tenants[tenant].open_connections if self.settings.tenants else 0.0
         return 0 < quota < self.tenant_connections[tenant] * self.settings.siblings
 
+    def _may_repeat(self, request: RequestState) -> bool:
+        """Tell whether a request may have a further attempt at any server."""
+        cls = self.settings.classes[request.class_index]
+        if cls.semantics is api.Semantics.REPEATABLE:
+            return True
+        may_have_run = [a for a in request.attempts if a.result not in _NOT_EXECUTED]
+        if cls.semantics is api.Semantics.ONCE:
+            return not may_have_run
+        return all(self.now < attempt.sent_at + cls.window for attempt in may_have_run)
+
     def _may_send(self, request: RequestState, server: Server) -> bool:
         """Tell whether an attempt at this server can't make the request take effect twice."""
         cls = self.settings.classes[request.class_index]
-        if cls.semantics is api.Semantics.REPEATABLE:
+        if not self._may_repeat(request):
+            return False
+        if cls.semantics is not api.Semantics.KEYED or cls.scope is api.Scope.ALL:
             return True
-        for attempt in request.attempts:
-            if attempt.result in _NOT_EXECUTED:
-                continue
-            out_of_scope = (cls.scope is api.Scope.ZONE and attempt.server.zone != server.zone) or (
-                cls.scope is api.Scope.CELL and attempt.server.cell != server.cell
-            )
-            if out_of_scope or cls.semantics is api.Semantics.ONCE or self.now >= attempt.sent_at + cls.window:
-                return False
-        return True
+        return all(
+            attempt.zone == server.zone if cls.scope is api.Scope.ZONE else attempt.cell == server.cell
+            for attempt in request.attempts
+            if attempt.result not in _NOT_EXECUTED
+        )
 
     def _place(self, request: RequestState) -> None:
         """Send a request to a server, hold it, or end it if no server will be found in time."""
+        if not self._may_repeat(request):
+            self._give_up(request, "no time to repeat")
+            return
         # The limit on set-ups under way spreads the clients of a dead relay, which all return at once, to what a store
         # shared by the servers can take.
         pair = self._top_two(request, self._candidates(request)) if self.pending < int(self.set_up_limit) else []
@@ -687,7 +700,7 @@
             self.settings.classes[request.class_index].aim, int(FIRST_TIMEOUT_FACTOR * self.set_up_time)
         )
         timeout = min(request.deadline - self.now, first_timeout << len(request.attempts))
-        request.attempts.append(Attempt(server, self.now))
+        request.attempts.append(Attempt(server, self.now, server.zone, server.cell))
         self.held.pop(request.id, None)
         server.pending += 1
         self.pending += 1
@@ -800,7 +813,7 @@
             server.state = api.ServerState.GONE
         self.had_connections_at_start |= not event.inherited
         request = self._track_request(event, 0)
-        request.attempts.append(Attempt(server, self.now))
+        request.attempts.append(Attempt(server, self.now, server.zone, server.cell))
         request.established = True
         self.tenant_connections[request.tenant] += 1
         self._attach(server, request)
--- a/tests/test_request_guard.py
+++ b/tests/test_request_guard.py
@@ -59,7 +59,8 @@
     testbed.guard.attempt_ended(request, api.Result.RESET)
     assert testbed.guard.check_send(request, "a2") is None
     testbed.guard.client_left(request)
-    assert testbed.guard.check_send(request, "a2") is api.Result.NOT_SENT and not testbed.guard.may_write(request)
+    assert testbed.guard.check_send(request, "a2") is api.Result.NOT_SENT
+    assert testbed.guard.check_write(request) is api.Result.NOT_SENT
     assert testbed.invariants.prevented == {Rule.SECOND_COPY: 1, Rule.SENT_AFTER_END: 2}
     assert not testbed.invariants.violations and testbed.invariants.summary() == "none violated"
 
@@ -72,9 +73,10 @@
     testbed.guard.attempt_begun(request, "a1")
     testbed.guard.attempt_begun(established, "a1")
     testbed.now += 840 * MS
-    assert testbed.guard.may_write(request)
+    assert testbed.guard.check_write(request) is None
     testbed.now += 20 * MS
-    assert not testbed.guard.may_write(request) and testbed.guard.may_write(established)
+    assert testbed.guard.check_write(request) is api.Result.CONNECT_FAILED
+    assert testbed.guard.check_write(established) is None
     testbed.guard.attempt_ended(request, api.Result.CONNECT_FAILED)
     assert testbed.guard.check_send(request, "a1") is api.Result.CONNECT_FAILED
     testbed.list(kind=kind)
