Do no work that grows with the listed servers for a request, a report or a tick

Cause: every event went through all servers, and each probe's answer placed up to 16 waiting requests again.

Change: a key is placed among 128 candidates from a ring of digests, plus the holders of its group, the own zone where preferred, the servers of its scope for a repeat, and the cold ones where few; other places are searched if none fits. A report wakes who waits for it. ServerTable keeps sets and sums as they change. Records moved to state.py, ranking to ranking.py. In net/: probe connections and held-back LOAD values are counted where they change.

Tests that read Balancer.live or update_load's arguments follow the new form; their assertions are unchanged.

--- a/scaledeal/cold_start.py
+++ b/scaledeal/cold_start.py
@@ -104,18 +104,21 @@
         if self.report_count >= MIN_REPORTS:
             self.connections_when_full = capacity
 
-    def update_load(self, elapsed: int, servers: Iterable[tuple[float, float | None]]) -> None:
-        """Update the fleet's load from each server's capacity and utilisation, ``elapsed`` after the last update.
+    def update_load(self, elapsed: int, reported: Iterable[tuple[float, float]], unreported_capacity: float) -> None:
+        """Update the fleet's load, ``elapsed`` after the last update.
 
+        ``reported`` has the capacity and utilisation of each server that is known to be warm and has a report, and
+        ``unreported_capacity`` is that of all others together, which are taken to be as loaded as these in the mean.
         The load decays over ``LOAD_MEMORY_NS``: a server that dies leaves the sum at once, while the crowd of its
         clients is still to return.
         """
-        listed = list(servers)
-        reported = [utilisation for _, utilisation in listed if utilisation is not None]
-        mean = sum(reported) / len(reported) if reported else 1.0
-        load = sum(c * min(MAX_UTILISATION, max(MIN_UTILISATION, mean if u is None else u)) for c, u in listed)
+        listed = list(reported)
+        mean = sum(utilisation for _, utilisation in listed) / len(listed) if listed else 1.0
+        load = sum(capacity * _plausible_utilisation(utilisation) for capacity, utilisation in listed)
+        load += unreported_capacity * _plausible_utilisation(mean)
+        capacity = sum(capacity for capacity, _ in listed) + unreported_capacity
         self.fleet_load = max(load, self.fleet_load * max(0.0, 1 - elapsed / LOAD_MEMORY_NS))
-        self.fleet_utilisation = load / max(1e-9, sum(c for c, _ in listed))
+        self.fleet_utilisation = load / max(1e-9, capacity)
         crowd = (
             CROWD_SHARE * max(1.0, self.fleet_load * self.connections_when_full)
             if self.report_count >= MIN_REPORTS
@@ -158,3 +161,7 @@
     def time_to_next_slot(self, slots: Slots, capacity: float) -> int:
         """Return the nanoseconds until the next slot opens, from the time of the last count."""
         return int((1 - slots.next_part) / self.slot_rate(capacity)) + 1
+
+
+def _plausible_utilisation(utilisation: float) -> float:
+    return min(MAX_UTILISATION, max(MIN_UTILISATION, utilisation))
--- a/scaledeal/estimates.py
+++ b/scaledeal/estimates.py
@@ -11,7 +11,7 @@
 import statistics
 from bisect import bisect_left, bisect_right, insort
 from collections import OrderedDict, deque
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
 MIN_FOR_MEDIAN = 3  # fewer values do not show which of them is wrong
 REPORTS_PER_SERVER = 10  # latest reports of a server that count
@@ -118,13 +118,38 @@
         return IMPLAUSIBLE_LOAD_FACTOR * statistics.median_low(self._sorted[cls])
 
 
-def typical_weight(weights: Iterable[float]) -> float:
-    """Return the fleet's median weight; 0 if there are too few to tell."""
-    listed = list(weights)
-    return statistics.median_low(listed) if len(listed) >= MIN_FOR_MEDIAN else 0.0
+class ListedWeights:
+    """The weights of all servers as listed, and which of them can't be right beside the fleet's median.
 
+    A change takes no longer where there are more servers, but for the move of a list's items in memory.
+    """
 
-def is_plausible_weight(weight: float, typical: float) -> bool:
-    """Tell whether a weight can be right beside the fleet's median; ``typical`` is 0 if that can't be told."""
-    factor = IMPLAUSIBLE_WEIGHT_FACTOR
-    return not typical or typical / factor <= weight <= typical * factor
+    def __init__(self) -> None:
+        self._weights: dict[str, float] = {}
+        self._sorted: list[tuple[float, str]] = []
+
+    def record(self, server: str, weight: float) -> None:
+        """Record the listed weight of a server."""
+        self.remove(server)
+        self._weights[server] = weight
+        insort(self._sorted, (weight, server))
+
+    def remove(self, server: str) -> None:
+        """Forget a server; one that is not known is ignored."""
+        weight = self._weights.pop(server, None)
+        if weight is not None:
+            del self._sorted[bisect_left(self._sorted, (weight, server))]
+
+    def typical(self) -> float:
+        """Return the fleet's median weight; 0 if there are too few to tell."""
+        count = len(self._sorted)
+        return self._sorted[(count - 1) // 2][0] if count >= MIN_FOR_MEDIAN else 0.0
+
+    def implausible(self) -> set[str]:
+        """Return the servers whose listed weight can't be right."""
+        typical = self.typical()
+        if not typical:
+            return set()
+        low = bisect_left(self._sorted, (typical / IMPLAUSIBLE_WEIGHT_FACTOR, ""))
+        high = bisect_right(self._sorted, (typical * IMPLAUSIBLE_WEIGHT_FACTOR, "\U0010ffff"))
+        return {server for _, server in [*self._sorted[:low], *self._sorted[high:]]}
--- a/scaledeal/net/health_probe.py
+++ b/scaledeal/net/health_probe.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from itertools import islice
 
 from scaledeal import interface as api
 from scaledeal.net import wording
@@ -25,18 +26,40 @@
         idle: float,
         report_result: ResultCallback,
         on_idle_closed: Callable[[str], None],
+        connected: set[str],
     ) -> None:
-        """``idle`` is the time in seconds after which an unused connection is closed."""
+        """``idle`` is the time in seconds after which an unused connection is closed.
+
+        ``connected`` has the servers to which there are connections; this probe keeps its own server's entry.
+        """
         self.context = context
+        self.connected = connected
         self.server = server
         self.idle = idle
         self.report_result = report_result
         self.on_idle_closed = on_idle_closed
         self.address = ""
-        self.link: AppServerLink | None = None  # the connection in use
+        self._link: AppServerLink | None = None  # the connection in use
         self.probe_began = 0  # when the unanswered probe began, in ns; 0 if there is none
         self.timer: Timer | None = None
 
+    @property
+    def link(self) -> AppServerLink | None:
+        """The connection in use."""
+        return self._link
+
+    @link.setter
+    def link(self, link: AppServerLink | None) -> None:
+        self._link = link
+        if link is None:
+            self.connected.discard(self.server)
+        else:
+            self.connected.add(self.server)
+
+    def is_idle(self) -> bool:
+        """Return whether there is a connection without an unanswered probe."""
+        return self.link is not None and not self.probe_began
+
     def probe(self, address: str) -> None:
         """Begin a probe, unless the last one is still unanswered."""
         if self.probe_began:
@@ -86,13 +109,10 @@
         self._abandon_link()
         self.on_idle_closed(self.server)
 
-    def close_if_idle(self) -> bool:
-        """Close the connection if there is one without an unanswered probe; return whether it was closed."""
-        if self.link is None or self.probe_began:
-            return False
+    def close_idle(self) -> None:
+        """Close the connection, which has no unanswered probe."""
         self._stop_timer()
         self._close_idle()
-        return True
 
     def _abandon_link(self) -> None:
         """Close the connection and ignore its further events."""
@@ -153,11 +173,12 @@
         self.report_result = report_result
         self.allowance = allowance
         self.probes: dict[str, HealthProbe] = {}  # the least recently used first
+        self.connected: set[str] = set()  # servers to which there are connections
 
     def probe(self, server: str, address: str) -> None:
         """Send one probe; exactly one result is reported."""
         probe = self.probes.pop(server, None) or HealthProbe(
-            self.context, server, self.idle, self.report_result, self.forget
+            self.context, server, self.idle, self.report_result, self.forget, self.connected
         )
         self.probes[server] = probe
         if probe.link is None:
@@ -166,15 +187,14 @@
 
     def connection_count(self) -> int:
         """Return how many connections probes hold."""
-        return sum(each.link is not None for each in self.probes.values())
+        return len(self.connected)
 
     def close_idle(self, max_connections: int) -> None:
         """Close idle connections, the least recently used first, until at most ``max_connections`` are held."""
         excess = self.connection_count() - max_connections
-        for each in list(self.probes.values()):
-            if excess <= 0:
-                break
-            excess -= each.close_if_idle()
+        idle = (probe for probe in self.probes.values() if probe.is_idle())
+        for probe in list(islice(idle, max(0, excess))):
+            probe.close_idle()
 
     def forget(self, server: str) -> None:
         """Remove the probe of a server that is no longer probed."""
--- a/scaledeal/net/load_lines.py
+++ b/scaledeal/net/load_lines.py
@@ -53,6 +53,7 @@
         self.now = now
         self.loads: dict[str, float] = {}
         self.servers: dict[str, _Server] = {}
+        self.holding_back: set[str] = set()  # servers of which a value is held back
         self.faults = FaultLog(log, "LOAD lines with an impossible value", GOOD_VALUES_TO_RECOVER)
 
     def read(self, server: str, connection: str, amount: float) -> Reading | None:
@@ -82,12 +83,14 @@
             if hangs:
                 return api.NoteKind.DELAY, amount
         if due and amount <= MAX_SHORT_DELAY_MS:
+            self.holding_back.discard(server)
             known.last_at, known.confirmed, known.pending = now, amount > self.threshold_ms, None
             return api.NoteKind.DELAY, amount
         if amount <= MAX_SHORT_DELAY_MS and not (known.confirmed and now - known.last_at < PERIOD_NS):
             known.last_at, known.confirmed = now, False
             if amount * MIN_DROP_FACTOR < before:
                 known.pending, known.value = connection, amount
+                self.holding_back.add(server)
                 return None
         return self._load(connection, amount)
 
@@ -97,12 +100,14 @@
         They are loads, and recorded as such.
         """
         settled = []
-        for known in self.servers.values():
+        for server in list(self.holding_back):
+            known = self.servers[server]
             if known.pending is not None and self.now() - known.last_at > PERIOD_NS + PERIOD_TOLERANCE_NS:
                 if known.pending in self.loads:
                     self.loads[known.pending] = known.value
                     settled.append((known.pending, known.value))
                 known.pending = None
+                self.holding_back.discard(server)
         return settled
 
     def forget(self, connection: str) -> None:
--- a/scaledeal/net/trace.py
+++ b/scaledeal/net/trace.py
@@ -16,7 +16,8 @@
 
 from scaledeal import interface as api
 from scaledeal.net.sides import ClientRequest
-from scaledeal.policy import Balancer, Server
+from scaledeal.policy import Balancer
+from scaledeal.state import Server
 
 log = logging.getLogger("scaledeal.trace")
 
--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -9,19 +9,25 @@
 
 import math
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from hashlib import blake2b
+from collections import deque
+from collections.abc import Callable, Iterable
 from itertools import islice
 from typing import Any
 
 from scaledeal import interface as api
-from scaledeal.cold_start import MAX_PLAUSIBLE_UTILISATION, MIN_INFORMATIVE_UTILISATION, ColdStart, Slots
-from scaledeal.estimates import MIN_LOADS, CapacityEstimate, LoadEstimate, is_plausible_weight, typical_weight
+from scaledeal.cold_start import MAX_PLAUSIBLE_UTILISATION, MIN_INFORMATIVE_UTILISATION, ColdStart
+from scaledeal.estimates import MIN_LOADS, CapacityEstimate, LoadEstimate
 from scaledeal.ladder import ESTIMATE_WINDOW_NS, LADDER_INTERVAL_NS, RUNGS, SECOND, Ladder
+from scaledeal.ranking import MAX_CANDIDATES, RING_SIZE, ServerRing, digest, pair_hash, rendezvous
+from scaledeal.server_table import ServerTable, TrackedLoads
+from scaledeal.state import Attempt, RequestState, Server
 
 MS = 1_000_000  # ns
 
+# Tokens of timers; 0 is the tick
+REPORT_TIMER = 1  # a request has waited for reports for long enough
+SLOT_TIMER = 2  # a slot at a cold server opens
+
 # Ladder
 SLOW_LOAD_SCALE = 3.0  # without reports: a third of the load on slow servers counts as full load
 MIN_SET_UPS_FOR_RATE = 8.0  # fewer set-ups than this in ESTIMATE_WINDOW_NS give no reliable rate
@@ -63,6 +69,8 @@
 FRESH_REPORT_AGE_NS = SECOND  # age up to which a report is good enough for placement
 REPORT_WAIT_NS = 80 * MS  # how long a request waits for a fresh report
 MAX_WAITING_REQUESTS = 16  # requests that wait for reports or slots at once
+FURTHER_SEARCHES = 4  # times that candidates elsewhere are looked for at once, where those of the key can't be used
+FURTHER_SEARCH_STEP = int(RING_SIZE * 0.6180339887498949)  # the golden ratio spreads the places of these searches
 DRAIN_GRACE_NS = SECOND  # time that a draining server gets to send its clients away itself
 MOVE_SHARE_PER_TICK = 0.1  # share of a saturated server's connections moved in a tick
 CALM_MOVE_SHARE_PER_TICK = 0.2  # the same on rung 0, with at most a third of the servers saturated
@@ -73,112 +81,23 @@
 GROUP_LOSS_PER_S = 0.1  # without reports: share of its groups that a saturated server loses per second
 
 
-def digest(name: str) -> int:
-    """Return 64 bits of a name's digest, the same at every relay."""
-    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
-
-
-def pair_hash(key: int, server: int) -> float:
-    """Return a number between 0 and 1 for a pair of digests."""
-    # Mixing two digests is much cheaper than a digest of each pair: ranking a large fleet that way for every request
-    # takes most of the CPU.
-    bits = (key ^ server) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
-    bits = (bits ^ bits >> 32) * 0xD6E8FEB86659FD93 & 0xFFFFFFFFFFFFFFFF
-    return ((bits >> 11) + 0.5) / 2**53
-
-
-def rendezvous(key: str, servers: list[Server]) -> list[Server]:
-    """Rank servers for a key by weighted rendezvous hashing, best first."""
-    key_digest = digest(key)
-    scores = [(math.log(pair_hash(key_digest, s.digest)) / (s.weight * s.warmth), s.id, s) for s in servers]
-    return [s for _, _, s in sorted(scores, reverse=True)]
-
-
-@dataclass(slots=True)
-class Attempt:
-    """One attempt to send a request to a server."""
-
-    server: Server
-    sent_at: int
-    zone: int  # of the server when the attempt was sent, as is the cell
-    cell: int
-    result: api.Result | None = None
-
-
-@dataclass(slots=True, eq=False)
-class RequestState:
-    """A request from its arrival until its last outcome, its open connection included."""
-
-    id: str
-    class_index: int
-    placement_key: str
-    bucket: tuple[int, bool]  # of the ladder: class, and whether the tenant is over its share
-    tenant: int
-    deadline: int
-    group: str
-    attempts: list[Attempt] = field(default_factory=list)
-    load: float = 0.0  # from notes or hints; 0 while unknown
-    established: bool = False
-    returning: bool = False
-    answered: bool = False  # needs no answer any more, and no attempt is started for it
-    reports_requested_at: int = 0  # when probes were first sent to place it
-    has_roomy_pair: bool = False  # whether the last search for its pair found servers with room
-    arrived_at: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """What this relay knows of one server."""
-
-    id: str
-    unknown_loads: list[int]  # number of connections of unknown load, by class
-    digest: int = 0  # of its id
-    slots: Slots = field(default_factory=Slots)  # while it is cold
-    state: api.ServerState = api.ServerState.LIVE
-    started: int = 0
-    zone: int = 0
-    cell: int = 0
-    listed_weight: float = 1.0
-    weight: float = 1.0  # as listed, unless that can't be right
-    warmth: float = 1.0  # share of its capacity that it has at its age, at the last update
-    connections: dict[str, RequestState] = field(default_factory=dict)  # open ones and set-ups under way
-    pending: int = 0  # set-ups under way
-    plausible_loads: bool = True  # whether the last load that it noted could be right
-    known_load: float = 0.0  # sum of the known loads of its connections
-    reported_utilisation: float = -1.0  # in the last report; negative if there is none
-    unconfirmed_utilisation: float = 0.0  # a sudden overload that the last report showed and none before it; else 0
-    reported_at: int = 0
-    load_at_report: float = 0.0  # this relay's load on it at the time that the last report describes
-    past_loads: list[float] = field(default_factory=list)  # this relay's load on it at the last ticks, oldest first
-    message_delay_ms: float = 0.0  # last noted; noted only while it is long
-    message_delay_at: int = 0
-    unit_capacity: float = 0.0  # learned capacity over its weight, in this relay's units of load; 0 while unknown
-    slow_load: float = 0.0  # without reports: this relay's load when its messages last turned slow; 0 while unknown
-    saturated_since: int = 0
-    failures: int = 0  # in a row
-    connection_broke_at: int = 0  # when an open connection last broke
-    last_set_up_failed: bool = False
-    sent_away_at: list[int] = field(default_factory=list)  # when it recently closed client connections gracefully
-    assumed_draining_until: int = 0  # counts as draining until then although the list does not say so
-    suspect_until: int = 0
-    groups: dict[str, int] = field(default_factory=dict)  # number of its connections by group
-    leaving_groups: frozenset[str] = frozenset()  # groups that it is to lose because it is saturated
-    next_probe_at: int = 0
-    probe_pending: bool = False
-    probed_at: int = -SECOND
-
-
 class Balancer:
     """The decisions of one relay."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings = settings
         self.random = random.Random(seed)
-        self.servers, self.live = dict[str, Server](), list[Server]()
-        self.tracked: dict[str, Server] = {}  # servers with connections or reports, which a tick looks at
-        self.changed_weights = set[str]()  # servers whose listed weight was not looked at yet
+        self.table = ServerTable(len(settings.classes))
+        self.servers, self.live = self.table.by_name, self.table.live
+        self.loads_by_server = TrackedLoads(len(settings.classes))
+        self.tracked = self.loads_by_server.servers  # servers with connections or reports, which a tick looks at
+        self.holders: dict[str, dict[str, Server]] = {}  # by group, the servers with connections of it
         self.draining: dict[Server, int] = {}  # servers listed as draining while they held connections, and since when
         self.requests, self.held = dict[str, RequestState](), dict[str, RequestState]()
+        self.awaiting_report: dict[
+            str, dict[str, RequestState]
+        ] = {}  # by server, the requests that wait for its report
+        self.report_waits: deque[RequestState] = deque()  # requests that have a timer for their wait, in its order
         self.actions: list[api.Action] = []
         self.handlers: dict[type[api.Event], Callable[[Any], None]] = {
             api.Request: self._on_request,
@@ -240,22 +159,18 @@
         self.watch_failures = 0
         if event.kind is not api.MembershipKind.CHANGES:
             listed = {entry.server for entry in event.servers}
-            for server in (s for s in self.servers.values() if s.id not in listed):
-                server.state = api.ServerState.GONE
+            for server in [s for s in self.servers.values() if s.id not in listed]:
+                self.table.place(server, api.ServerState.GONE, server.zone, server.cell)
         for entry in event.servers:
             self._update_server(entry)
-        for gone in [s.id for s in self.servers.values() if s.state is api.ServerState.GONE and not s.connections]:
-            del self.servers[gone]
-        if self.changed_weights:
-            self._update_weights()
-        self.live = [s for s in self.servers.values() if s.state is api.ServerState.LIVE]
+        self._update_weights()
         self.min_set_up_limit = max(1.0, SET_UPS_PER_SERVER * len(self.live) / self.settings.siblings / 2)
         self.set_up_limit = self.set_up_limit or 2 * self.min_set_up_limit
         self._update_cold_start(0)
         self._place_held(len(self.held))
 
     def _add_server(self, name: str) -> Server:
-        server = self.servers[name] = Server(name, [0] * len(self.settings.classes), digest(name))
+        server = self.table.add(name)
         server.slots = self.cold_start.new_slots(self.now, server.digest)
         return server
 
@@ -263,31 +178,29 @@
         server = self.servers.get(entry.server)
         if server is None:
             server = self._add_server(entry.server)
-            self.changed_weights.add(entry.server)
             # At the start nothing is known of any server, so all are probed at once; later ones at a random time.
             server.next_probe_at = self.now + (self.now > self.started) * int(PROBE_INTERVAL_NS * self.random.random())
         if entry.started > server.started:  # a new process: observations of the old one are void
-            server.failures = server.suspect_until = server.saturated_since = server.assumed_draining_until = 0
+            self.table.set_failures(server, 0)
+            server.suspect_until = server.saturated_since = server.assumed_draining_until = 0
             server.reported_utilisation, server.unconfirmed_utilisation, server.message_delay_ms = -1.0, 0.0, 0.0
         if entry.state is api.ServerState.DRAINING and server.connections:
             self.draining.setdefault(server, self.now)
-        server.state, server.started = entry.state, max(server.started, entry.started)
-        server.zone, server.cell = entry.zone, entry.cell
+        server.started = max(server.started, entry.started)
+        if entry.state is api.ServerState.LIVE:
+            warmth = self.cold_start.warmth(self.now - server.started) if server.started else 1.0
+            self.table.set_warmth(server, warmth)
         if self.settings.fixed_weights and 0 < entry.weight < math.inf:
-            if entry.weight != server.listed_weight:
-                self.changed_weights.add(server.id)
-            server.listed_weight = entry.weight
+            self.table.set_listed_weight(server, entry.weight)
+        self.table.place(server, entry.state, entry.zone, entry.cell)
+        self.table.discard_if_unused(server)
 
     def _update_weights(self) -> None:
-        """Give each server its listed weight; the fleet's median where the listed one can't be right."""
-        changed, self.changed_weights = self.changed_weights, set()
-        typical = typical_weight(s.listed_weight for s in self.servers.values())
-        for server in self.servers.values():
-            plausible = is_plausible_weight(server.listed_weight, typical)
-            server.weight = server.listed_weight if plausible else typical
-            if not plausible and server.id in changed:
-                ignored = f"server {server.id}: its weight {server.listed_weight:g} is ignored"
-                self.actions.append(api.Log(f"{ignored} beside the median of {typical:g}, which is used"))
+        """Use the listed weights, but those that can't be right beside the fleet's median."""
+        for server in self.table.update_weights():
+            ignored = f"server {server.id}: its weight {server.listed_weight:g} is ignored"
+            self.actions.append(api.Log(f"{ignored} beside the median of {server.weight:g}, which is used"))
+        self.loads_by_server.recount()
 
     # Loads
 
@@ -295,6 +208,9 @@
         """Return the mean load of a connection of this class, or of any class while that is unknown."""
         return self.loads.mean(cls)
 
+    def _class_loads(self) -> list[float]:
+        return [self._class_load(cls) for cls in range(len(self.settings.classes))]
+
     def _mean_load(self) -> float:
         """Return the mean load of a connection; 1 while no load is known."""
         return self.loads.overall_mean()
@@ -315,12 +231,11 @@
 
     def _attach(self, server: Server, request: RequestState) -> None:
         server.connections[request.id] = request
-        self.tracked[server.id] = server
+        self.loads_by_server.add(server)
         server.groups[request.placement_key] = server.groups.get(request.placement_key, 0) + 1
-        if request.load:
-            server.known_load += request.load
-        else:
-            server.unknown_loads[request.class_index] += 1
+        if request.group:
+            self.holders.setdefault(request.group, {})[server.id] = server
+        self.loads_by_server.change(server, request.load, request.class_index, int(not request.load))
 
     def _detach(self, server: Server, request: RequestState) -> None:
         if server.connections.pop(request.id, None) is None:
@@ -328,14 +243,20 @@
         server.groups[request.placement_key] -= 1
         if not server.groups[request.placement_key]:
             del server.groups[request.placement_key]
-        if request.load:
-            server.known_load = max(0.0, server.known_load - request.load) if server.connections else 0.0
-        else:
-            server.unknown_loads[request.class_index] -= 1
+            self._forget_holder(request.group, server)
+        known_left = max(0.0, server.known_load - request.load) if server.connections else 0.0
+        known = known_left - server.known_load if request.load else 0.0
+        self.loads_by_server.change(server, known, request.class_index, -int(not request.load))
         if request.established:
             self.tenant_connections[request.tenant] -= 1
-        if server.state is api.ServerState.GONE and not server.connections:
-            self.servers.pop(server.id, None)
+        self.table.discard_if_unused(server)
+
+    def _forget_holder(self, group: str, server: Server) -> None:
+        """Record that a server holds no connections of a group any more."""
+        if holders := self.holders.get(group):
+            holders.pop(server.id, None)
+            if not holders:
+                del self.holders[group]
 
     def _record_report(self, server: Server, values: tuple[float, ...]) -> None:
         report = dict(zip(self.settings.report_fields, values, strict=False))
@@ -346,7 +267,7 @@
             self._probe([server])
             return
         server.reported_utilisation, server.reported_at = value, self.now
-        self.tracked[server.id] = server
+        self.loads_by_server.add(server)
         # A report describes the load at the time when it was made, before anything that was moved since.
         server.load_at_report = server.past_loads[0] if server.past_loads else self._own_load(server)
         if not self.is_cold(server) and value > MIN_INFORMATIVE_UTILISATION:
@@ -426,8 +347,7 @@
 
     def _set_load(self, server: Server, request: RequestState, load: float) -> None:
         """Set the load of a connection at a server."""
-        server.unknown_loads[request.class_index] -= int(not request.load)
-        server.known_load += load - request.load
+        self.loads_by_server.change(server, load - request.load, request.class_index, -int(not request.load))
         request.load = load
 
     def _verify_loads(self) -> None:
@@ -441,8 +361,8 @@
             request.load = 0.0
             server = request.attempts[-1].server if request.attempts else None
             if server is not None and request.id in server.connections:
-                server.unknown_loads[request.class_index] += 1
-                server.known_load = sum(each.load for each in server.connections.values())
+                known = sum(each.load for each in server.connections.values()) - server.known_load
+                self.loads_by_server.change(server, known, request.class_index, 1)
         if wrong:
             self._forget_past_loads()
 
@@ -457,12 +377,13 @@
         """Suspect a server for a time that doubles with each failure in a row."""
         # Trouble that is everywhere, such as a slow shared store, is not the fault of single servers: no more than
         # about a third of them are suspected.
-        if 3 * sum(1 for s in self.live if s.failures and s is not server) >= len(self.live):
+        others = len(self.table.failing) - (server.id in self.table.failing)
+        if 3 * others >= len(self.live):
             return
         if server.failures == 0:
             self.actions.append(api.Log(f"server {server.id} suspected"))
         server.suspect_until = self.now + SUSPECT_BACK_OFF_NS * 2 ** min(server.failures, SUSPECT_BACK_OFF_DOUBLINGS)
-        server.failures += 1
+        self.table.set_failures(server, server.failures + 1)
 
     def _is_saturated(self, server: Server) -> bool:
         slow = (
@@ -484,10 +405,13 @@
 
     def _update_cold_start(self, elapsed: int) -> None:
         """Update the servers' warmth and the fleet's load, ``elapsed`` nanoseconds after the last step."""
-        for server in self.live:
-            server.warmth = self.cold_start.warmth(self.now - server.started) if server.started else 1.0
-        loads = ((s.weight * s.warmth, None if self.is_cold(s) else self.utilisation(s)) for s in self.live)
-        self.cold_start.update_load(elapsed, loads)
+        if elapsed:  # lists may change many times between two steps, and each change brings its own servers' warmth
+            self.table.refresh_cold(self.cold_start, self.now)
+        warm = [s for s in self.tracked.values() if s.id in self.live and not self.is_cold(s)]
+        reported = [(s.weight, u) for s in warm if (u := self.utilisation(s)) is not None]
+        capacity = self.table.warm_capacity + self.table.cold_capacity
+        unreported = max(0.0, capacity - sum(weight for weight, _ in reported))
+        self.cold_start.update_load(elapsed, reported, unreported)
 
     def _waits_for_slot(self, request: RequestState, first: Server) -> bool:
         """Tell whether to wait for a slot at a cold server rather than use ``first``, and set a timer if so."""
@@ -495,48 +419,108 @@
         crowd = not request.has_roomy_pair or (
             request.returning and self.cold_start.fleet_utilisation >= SLOTS_NEEDED_UTILISATION
         )
-        cold = [s for s in self.live if self._is_cold_with_room(s)] if crowd else []
+        cold = [s for s in self._nearby(request) if self._is_cold_with_room(s)] if crowd else []
         due = [self.now + self.cold_start.time_to_next_slot(s.slots, s.weight * s.warmth) for s in cold]
         latest = min(request.arrived_at + self.cold_start.window, request.deadline - self.set_up_time - 2 * TICK_NS)
         if first.warmth < 1 or len(self.held) > MAX_WAITING_REQUESTS or min(due, default=latest) >= latest:
             return False
         if self.slot_timer_at <= self.now:
             self.slot_timer_at = min(due)
-            self.actions.append(api.SetTimer(self.slot_timer_at - self.now, 1))
+            self.actions.append(api.SetTimer(self.slot_timer_at - self.now, SLOT_TIMER))
         return True
 
     # Placement
 
     def _candidates(self, request: RequestState) -> list[Server]:
         """Return the servers that a new connection may go to; suspect ones only if there are no others."""
-        ready = self._in_rotation([s for s in self.live if self._may_send(request, s)])
+        ready = self._in_rotation(self._nearby(request))
+        ring = self._permitted_ring(request)
+        if not ready and len(ring) > MAX_CANDIDATES:
+            ready = self._further_candidates(request, ring)
         # While the fleet is busy, cold servers with an open slot go first: a slot that lapses unused leaves its load
         # to warm servers that have too much already.
-        cold = (
-            [s for s in ready if self._is_cold_with_room(s)]
-            if self.cold_start.fleet_utilisation >= SLOTS_NEEDED_UTILISATION
-            else []
-        )
+        cold = [s for s in ready if self._is_cold_with_room(s)] if self._needs_slots() else []
         return cold or ready
 
+    def _needs_slots(self) -> bool:
+        return self.cold_start.fleet_utilisation >= SLOTS_NEEDED_UTILISATION
+
+    def _permitted_ring(self, request: RequestState) -> ServerRing[Server]:
+        """Return the live servers that may get a further attempt of a request; none if it may not be repeated."""
+        cls = self.settings.classes[request.class_index]
+        if not self._may_repeat(request):
+            return ServerRing()
+        first = next((a for a in request.attempts if a.result not in _NOT_EXECUTED), None)
+        if first is None or cls.semantics is not api.Semantics.KEYED or cls.scope is api.Scope.ALL:
+            return self.table.ring
+        if cls.scope is api.Scope.ZONE:
+            return self.table.zone_ring(first.zone)
+        return self.table.cell_ring(first.cell)
+
+    def _nearby(self, request: RequestState) -> list[Server]:
+        """Return the live servers that a request is placed among: all permitted ones in a fleet that is not large."""
+        ring, position = self._permitted_ring(request), digest(request.placement_key)
+        near = ring.following(position, MAX_CANDIDATES)
+        if len(near) == len(ring):
+            return near
+        further = list(self.holders.get(request.group, {}).values())
+        if self._prefers_own_zone():
+            further += self.table.zone_ring(self.settings.zone).following(position, MAX_CANDIDATES)
+        if self._needs_slots() and len(self.table.cold) <= MAX_CANDIDATES:
+            further += self.table.cold.values()
+        permitted = (s for s in further if s.id in self.live and self._may_send(request, s))
+        return list(dict.fromkeys([*near, *permitted]))
+
+    def _further_candidates(self, request: RequestState, ring: ServerRing[Server]) -> list[Server]:
+        """Return candidates elsewhere in the fleet, at other places each time; none if there are none either."""
+        for _ in range(FURTHER_SEARCHES):
+            request.further_searches += 1
+            position = digest(request.placement_key) + request.further_searches * FURTHER_SEARCH_STEP
+            ready = self._in_rotation(ring.following(position, MAX_CANDIDATES))
+            if ready:
+                return ready
+        return []
+
     def _is_cold_with_room(self, server: Server) -> bool:
         return (
             server.warmth < 1 and not self._is_suspect(server) and (self.utilisation(server) or 0.0) <= FULL_UTILISATION
         )
 
-    def _in_rotation(self, live: list[Server]) -> list[Server]:
+    def _in_rotation(self, live: Iterable[Server]) -> list[Server]:
+        """Return which of these servers may get new connections."""
+        live = [s for s in live if not self._lacks_slot(s)]
+        live = [s for s in live if not self._has_late_probe(s)] or live
+        return [s for s in live if not self._is_suspect(s)] or live
+
+    def _lacks_slot(self, server: Server) -> bool:
         # A cold server is used only in its slots, as all relays together would overload it. A relay that has just
         # restarted does not know what it sent there before, and leaves it out for one window.
-        window_known, has_slot = self.now - self.started >= self.cold_start.window, self.cold_start.has_open_slot
-        live = [s for s in live if s.warmth == 1 or (window_known and has_slot(self.now, s.slots, s.weight * s.warmth))]
+        if server.warmth == 1:
+            return False
+        window_known = self.now - self.started >= self.cold_start.window
+        capacity = server.weight * server.warmth
+        return not (window_known and self.cold_start.has_open_slot(self.now, server.slots, capacity))
+
+    def _has_late_probe(self, server: Server) -> bool:
         # A late probe shows that a server answers nothing; otherwise each relay would learn it by a set-up of its own.
-        live = [s for s in live if not s.probe_pending or self.now - s.probed_at < REPORT_WAIT_NS] or live
-        return [s for s in live if not self._is_suspect(s)] or live
+        return server.probe_pending and self.now - server.probed_at >= REPORT_WAIT_NS
 
     def rotation_counts(self) -> tuple[int, int]:
         """Return how many servers are listed, and how many of those get no new connections now."""
-        listed = sum(s.state is not api.ServerState.GONE for s in self.servers.values())
-        return listed, listed - len(self._in_rotation(self.live))
+        table = self.table
+        self.table.assumed_draining = {
+            name: each for name, each in table.assumed_draining.items() if each.assumed_draining_until > self.now
+        }
+        doubtful = {**table.cold, **table.failing, **table.assumed_draining, **table.probed}
+        servers = [server for name, server in doubtful.items() if name in self.live]
+        listed = len(self.servers) - len(table.left)
+        in_rotation = len(self.live) - len(servers)
+        if in_rotation:
+            avoided = (self._lacks_slot(s) or self._has_late_probe(s) or self._is_suspect(s) for s in servers)
+            in_rotation += len(servers) - sum(avoided)
+        else:
+            in_rotation = len(self._in_rotation(servers))
+        return listed, listed - in_rotation
 
     def _top_two(self, request: RequestState, ready: list[Server]) -> list[Server]:
         """Return the two best servers for a request, or fewer if there are no more."""
@@ -544,8 +528,7 @@
         if tried := {a.server for a in request.attempts}:
             ready = [s for s in ready if s not in tried] or ready
         ranked = rendezvous(key, ready)
-        if self.settings.zone_price > self.settings.move_price and self.ladder.rung == 0:
-            # Where crossing zones costs more than a move, place in the own zone and move later if that fails.
+        if self._prefers_own_zone():
             ranked.sort(key=lambda s: s.zone != self.settings.zone)
         if request.group:
             # A group at two servers costs twice, so the server that holds most of it goes first.
@@ -554,11 +537,15 @@
         # groups are not scattered.
         ranked = [s for s in ranked if key not in s.leaving_groups] or ranked
         # Without the check for crowded servers, a group fills its first servers while others are idle.
-        mean = sum(self._own_load(s) / s.weight for s in self.tracked.values()) / max(1, len(self.live))
+        mean = self.loads_by_server.total(self._class_loads()) / max(1, len(self.live))
         roomy = list(islice((s for s in ranked if not self._is_crowded(s, key, mean)), 2))
         request.has_roomy_pair = bool(roomy)
         return roomy or ranked[:2]
 
+    def _prefers_own_zone(self) -> bool:
+        """Tell whether to place in the own zone and move later if that fails: crossing zones costs more than a move."""
+        return self.settings.zone_price > self.settings.move_price and self.ladder.rung == 0
+
     def _choose(self, request: RequestState, pair: list[Server]) -> Server:
         """Choose the less loaded of two servers, or one at random while both have room."""
         first, second = pair[0], pair[-1]
@@ -617,7 +604,8 @@
         earned = PROBE_POINTS_PER_REQUEST / self.settings.probe_price if self.settings.probe_price else MAX_SAVED_PROBES
         self.probe_tokens = max(self.probe_tokens, min(limit, self.probe_tokens + earned))
         if event.mid_flow:
-            if ready := [s for s in self.live if s.suspect_until <= self.now] or self.live:
+            near = self._nearby(request)
+            if ready := [s for s in near if s.suspect_until <= self.now] or near:
                 self._send(request, rendezvous(request.placement_key, ready)[0])
                 return
         elif event.returning and self._polices_by_share() and self.ladder.rung < RUNGS - 1:
@@ -688,10 +676,14 @@
         if not self.settings.may_probe or waited or len(self.held) > MAX_WAITING_REQUESTS:
             return False
         self._probe([s for s in stale if self.now - s.probed_at > FRESH_REPORT_AGE_NS])
-        if (waits := any(s.probe_pending for s in stale)) and not request.reports_requested_at:
+        awaited = [s for s in stale if s.probe_pending]
+        for server in awaited:
+            self.awaiting_report.setdefault(server.id, {})[request.id] = request
+        if awaited and not request.reports_requested_at:
             request.reports_requested_at = self.now
-            self.actions.append(api.SetTimer(REPORT_WAIT_NS, 1))
-        return waits
+            self.report_waits.append(request)
+            self.actions.append(api.SetTimer(REPORT_WAIT_NS, REPORT_TIMER))
+        return bool(awaited)
 
     def _send(self, request: RequestState, server: Server) -> None:
         # The time-out doubles with each attempt: repeats by many relays would otherwise fill a shared store that is
@@ -718,7 +710,8 @@
         server.pending -= 1
         self.pending -= 1
         self.set_up_limit += 1 / self.set_up_limit
-        server.failures, server.suspect_until, server.last_set_up_failed = 0, 0, False
+        self.table.set_failures(server, 0)
+        server.suspect_until, server.last_set_up_failed = 0, False
         self.tenant_connections[request.tenant] += 1
         self.set_up_time += (event.elapsed - self.set_up_time) * (0.1 if self.set_up_time else 1.0)
         # Clients that return after a break are no new demand, and would inflate the estimate.
@@ -764,11 +757,12 @@
         # Clients also leave by themselves, but not half of all within a second.
         if len(server.sent_away_at) >= max(DRAIN_MIN_SENT_AWAY, len(server.connections)):
             server.assumed_draining_until = self.now + ASSUMED_DRAIN_NS
+            self.table.assumed_draining[server.id] = server
 
     def _retry(self, request: RequestState) -> None:
         """Start another attempt after a failed one, or give up."""
         spent = len(request.attempts) >= self.settings.max_attempts or self.retry_tokens < 1
-        barred = not any(self._may_send(request, s) for s in self.live)
+        barred = not len(self._permitted_ring(request))
         if spent or barred or request.deadline - self.now <= self.set_up_time:
             self._give_up(request, "retries spent" if spent else "no time to retry")
         else:
@@ -810,7 +804,6 @@
             return
         if (server := self.servers.get(event.server)) is None:
             server = self._add_server(event.server)
-            server.state = api.ServerState.GONE
         self.had_connections_at_start |= not event.inherited
         request = self._track_request(event, 0)
         request.attempts.append(Attempt(server, self.now, server.zone, server.cell))
@@ -826,28 +819,45 @@
     # Probes, moves and the clock
 
     def _on_probe_result(self, event: api.ProbeResult) -> None:
-        if (server := self.servers.get(event.server)) is None:
-            return
-        server.probe_pending = False
-        self._record_report(server, event.report)
-        if event.result in (api.Result.TIMEOUT, api.Result.CONNECT_FAILED):
-            self._record_failure(server)
-        self._place_held(MAX_WAITING_REQUESTS)
+        waiting = self.awaiting_report.pop(event.server, {})
+        if (server := self.servers.get(event.server)) is not None:
+            server.probe_pending = False
+            self.table.probed.pop(server.id, None)
+            self._record_report(server, event.report)
+            if event.result in (api.Result.TIMEOUT, api.Result.CONNECT_FAILED):
+                self._record_failure(server)
+        self._place_if_held(waiting.values())
+        self._place_held()
 
     def _on_timer(self, event: api.Timer) -> None:
-        """Place held requests; token 0 is the tick, any other a wait for reports or slots."""
-        self._place_held(MAX_WAITING_REQUESTS if event.token else len(self.held))
-        if event.token:
-            return
+        """Place held requests, and do the regular work at a tick."""
+        if event.token == REPORT_TIMER:
+            self._end_report_waits()
+        elif event.token == SLOT_TIMER:
+            self._place_held(MAX_WAITING_REQUESTS)
+        else:
+            self._place_held(len(self.held))
+            self._tick()
+
+    def _end_report_waits(self) -> None:
+        """Place the requests that have waited for reports for long enough."""
+        while self.report_waits and self.report_waits[0].reports_requested_at + REPORT_WAIT_NS <= self.now:
+            self._place_if_held([self.report_waits.popleft()])
+
+    def _place_if_held(self, requests: Iterable[RequestState]) -> None:
+        for request in requests:
+            if self.held.get(request.id) is request:
+                self._place(request)
+
+    def _tick(self) -> None:
         self.actions.append(api.SetTimer(TICK_NS, 0))
         if self.next_watch_at and self.now >= self.next_watch_at:
             self.next_watch_at = 0
             self.actions.append(api.Watch())
         for server in self.tracked.values():
             server.past_loads = [*server.past_loads[1 - REPORT_AGE_TICKS :], self._own_load(server)]
-        if self.probe_tokens >= 1 + PLACEMENT_PROBE_RESERVE:
-            due = sorted((s for s in self.live if s.next_probe_at <= self.now), key=lambda s: s.next_probe_at)
-            self._probe(due, PLACEMENT_PROBE_RESERVE)
+        self.loads_by_server.recount()
+        self._probe_due()
         self.group_max_utilisation = max(GROUP_MAX_UTILISATION, GROUP_MEAN_FACTOR * self.ladder.last_index / 100)
         self._sample_index()
         self._move_from_draining()
@@ -855,17 +865,30 @@
         if self.now >= self.next_step_at:
             self.next_step_at = self.now + LADDER_INTERVAL_NS
             self._update_cold_start(LADDER_INTERVAL_NS)
-            if self.ladder.step(self.now, [self._class_load(c) for c in range(len(self.settings.classes))]):
+            if self.ladder.step(self.now, self._class_loads()):
                 severe = ", severely overloaded: refusing all" * (self.ladder.rung == RUNGS - 1)
                 self.actions.append(api.Log(f"ladder on rung {self.ladder.rung}{severe}"))
 
-    def _probe(self, servers: list[Server], reserve: float = 0.0) -> None:
-        """Probe these servers in order while more than ``reserve`` probe tokens are left."""
+    def _probe_due(self) -> None:
+        """Probe the servers whose reports are oldest, as far as requests have paid for it."""
+        while self.probe_tokens >= 1 + PLACEMENT_PROBE_RESERVE:
+            server = self.table.take_due_probe(self.now)
+            if server is None:
+                return
+            if server.probe_pending:
+                self.table.schedule_probe(server, self.now + TICK_NS)
+            else:
+                self._probe([server])
+
+    def _probe(self, servers: list[Server]) -> None:
+        """Probe these servers in order while there are probe tokens."""
         for server in servers:
-            if not server.probe_pending and self.probe_tokens >= 1 + reserve:
+            if not server.probe_pending and self.probe_tokens >= 1:
                 self.probe_tokens -= 1
-                server.next_probe_at = self.now + int(PROBE_INTERVAL_NS * self.random.uniform(0.8, 1.2))
+                interval = int(PROBE_INTERVAL_NS * self.random.uniform(0.8, 1.2))
+                self.table.schedule_probe(server, self.now + interval)
                 server.probe_pending, server.probed_at = True, self.now
+                self.table.probed[server.id] = server
                 self.actions.append(api.Probe(server.id))
 
     def _sample_index(self) -> None:
@@ -901,7 +924,8 @@
                 server.saturated_since, server.leaving_groups = 0, frozenset()
                 unused = not server.connections and self.utilisation(server) is None
                 if unused or server.state is not api.ServerState.LIVE:
-                    self.tracked.pop(server.id).past_loads = []
+                    self.loads_by_server.remove(server)
+                    server.past_loads = []
                 continue
             server.saturated_since = server.saturated_since or self.now
             utilisation = self.utilisation(server)
--- a/tests/lab_broken.py
+++ b/tests/lab_broken.py
@@ -4,7 +4,7 @@
 from scaledeal import interface as api
 from scaledeal.policy import *
 from scaledeal.policy import Balancer as Sound
-from scaledeal.policy import rendezvous
+from scaledeal.ranking import rendezvous
 """
 
 LOST_ANSWER = (
@@ -40,7 +40,7 @@
         for flight in list(self.requests.values()):
             waits = flight.attempts and flight.attempts[-1].result is None and not flight.established
             if waits and self.now - flight.attempts[-1].sent_at > 100_000_000 and len(self.live) > 1:
-                self._send(flight, [s for s in self.live if s is not flight.attempts[-1].server][0])
+                self._send(flight, [s for s in self.live.values() if s is not flight.attempts[-1].server][0])
 """
 )
 
@@ -59,8 +59,11 @@
     + """
 class Balancer(Sound):
     def _on_membership(self, event):
+        for server in [s for s in self.live.values() if s.state is api.ServerState.DRAINING]:
+            self.table._leave(server)
         super()._on_membership(event)
-        self.live = [s for s in self.servers.values() if s.state is not api.ServerState.GONE]
+        for server in [s for s in self.servers.values() if s.state is api.ServerState.DRAINING]:
+            self.table._join(server)
 """
 )
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -12,8 +12,10 @@
 from sites import SITES, Site
 
 from scaledeal import interface as api
-from scaledeal.policy import Balancer, Server, digest, pair_hash, rendezvous
+from scaledeal.policy import Balancer
+from scaledeal.ranking import digest, pair_hash, rendezvous
 from scaledeal.settings import Document
+from scaledeal.state import Server
 
 REPORTS = replace(
     BASE,
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -229,8 +229,8 @@
 class FleetLoadIgnored(ColdStart):
     """The crowd is estimated from the remaining fleet as if it were idle: hardly any returning clients are expected."""
 
-    def update_load(self, elapsed: int, servers: object) -> None:
-        super().update_load(elapsed, ())
+    def update_load(self, elapsed: int, reported: object, unreported_capacity: float) -> None:
+        super().update_load(elapsed, (), 0.0)
 
 
 class SlotsKeptOpen(ColdStart):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,7 +6,16 @@
 import pytest
 
 PACKAGE = Path(__file__).parent.parent / "scaledeal"
-DECISION_MODULES = ("policy.py", "cold_start.py", "estimates.py", "interface.py", "ladder.py")
+DECISION_MODULES = (
+    "policy.py",
+    "cold_start.py",
+    "estimates.py",
+    "interface.py",
+    "ladder.py",
+    "ranking.py",
+    "server_table.py",
+    "state.py",
+)
 PURE_IMPORTS = {
     "__future__",
     "bisect",
@@ -15,6 +24,7 @@
     "dataclasses",
     "enum",
     "hashlib",
+    "heapq",
     "itertools",
     "math",
     "random",
@@ -23,6 +33,9 @@
     "scaledeal.estimates",
     "scaledeal.interface",
     "scaledeal.ladder",
+    "scaledeal.ranking",
+    "scaledeal.server_table",
+    "scaledeal.state",
     "statistics",
     "typing",
 }
