Keep a client's first line as its bytes, and bound what comes before the answer in bytes

Cause: OpenLine kept a mapping of all parameters for as long as the connection was open (55 KB for 3.6 KB sent, traced), and lines before the answer were bounded by number alone (68 KB each). Buffers of incomplete lines: 4 KiB, no cause.

Change: OpenLine holds the line and reads a parameter when asked; an attempt forgets its line once written; 16 KiB before the answer, or it is a flood as 17 lines are.

tests/test_client_memory.py on the code before: 55181 bytes against 3808; 69632 bytes accepted before the answer.

--- a/scaledeal/net/attempt.py
+++ b/scaledeal/net/attempt.py
@@ -194,6 +194,7 @@
     def _first_line_written(self) -> None:
         if self.stage is Stage.SENDING:
             self.stage = Stage.WAITING
+            self.line = b""  # not needed any more, for as long as the connection is open
             self.events.request_written()
 
     def _handle_answer(self, line: bytes) -> None:
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -10,6 +10,7 @@
 from scaledeal.net import wording
 from scaledeal.net.admission import Admission
 from scaledeal.net.attempt import NS_PER_S, AttemptContext, LineAttempt
+from scaledeal.net.buffers import MAX_LINE_BYTES
 from scaledeal.net.lines import LineLink
 from scaledeal.net.request_ids import ClaimResult, RequestIds
 from scaledeal.net.sides import Agent, AttemptEvents, ClientRequest, PausedConnection, ResumableSession, SessionOpener
@@ -17,7 +18,8 @@
 
 FIRST_LINE_TIMEOUT_S = 2.5  # for a complete first line, and between two PINGs
 MAX_PINGS = 50  # in that time: twice as many as from a front that sends one every 0.1 s; more are a flood
-MAX_EARLY_LINES = 16  # lines accepted before the answer; more are a flood
+MAX_EARLY_LINES = 16  # lines accepted before the answer; more are a flood,
+MAX_EARLY_BYTES = 4 * MAX_LINE_BYTES  # and so are more bytes
 STANDING_DEADLINE_CAP_MS = 40_000  # time to restore a connection that was established before the start
 
 
@@ -111,7 +113,7 @@
         elif self.stage is Stage.REQUESTED:
             self.early.append(line)
             # Reading goes on, as the end of the client may follow these lines, and its attempts must not outlive it.
-            if len(self.early) > MAX_EARLY_LINES:
+            if len(self.early) > MAX_EARLY_LINES or sum(map(len, self.early)) > MAX_EARLY_BYTES:
                 self._client_left(False)
                 self._reject("flooded")
 
@@ -210,7 +212,7 @@
     def _open_session(self, read: wording.OpenLine) -> bool:
         """Open or resume the client's session, if it has one; return False if that is refused."""
         for open_session in self.client_context.session_openers:
-            session = open_session(read.parameters)
+            session = open_session(read.parameters())
             if isinstance(session, bytes):
                 self._detach_transaction()
                 self._reject("resume refused", session)
@@ -281,7 +283,7 @@
         assert self.open_line is not None
         read = self.open_line
         if self.session is not None:
-            read = msgspec.structs.replace(read, parameters=self.session.asked())
+            read = read.with_parameters(self.session.asked())
         line = read.with_wait(wait)
         self.current = LineAttempt(self.client_context.attempt_context, line, self, events)
         return self.current.begin(address, wait)
--- a/scaledeal/net/wording.py
+++ b/scaledeal/net/wording.py
@@ -36,26 +36,57 @@
 
 
 class OpenLine(msgspec.Struct, frozen=True):
-    """A client's first line: OPEN, the connection's id, its key, and the parameters as they were received."""
+    """A client's first line: OPEN, the connection's id, its key, and the parameters as they were received.
 
-    head: bytes
-    key: str
-    parameters: dict[str, str]
+    It holds the line alone: its parameters as objects would take many times its size, for as long as the connection is
+    open.
+    """
 
-    def get(self, name: str) -> str:
-        """Return a parameter, or an empty string if it is absent."""
-        return self.parameters.get(name, "")
+    line: bytes
 
     @property
     def id(self) -> str:
         """Return the id of the connection."""
-        return self.head.split(b" ")[1].decode()
+        return self.line.split(b" ", 2)[1].decode()
+
+    @property
+    def key(self) -> str:
+        """Return the key."""
+        return self.line.split(b" ", 3)[2].decode()
+
+    def parameters(self) -> dict[str, str]:
+        """Return all parameters by name, in their order."""
+        pairs = self.line.split(b" ", 3)[3].decode().split(",")
+        return dict(pair.split("=", 1) for pair in pairs)
+
+    def get(self, name: str) -> str:
+        """Return a parameter, or an empty string if it is absent."""
+        start, end = self._span(name)
+        return self.line[start:end].decode()
 
     def with_wait(self, wait: int) -> bytes:
         """Return the line with ``d`` set to ``wait`` nanoseconds, at least 1 ms, and all else unchanged."""
-        milliseconds = str(max(1, wait // MS))
-        values = ",".join(f"{name}={milliseconds if name == 'd' else value}" for name, value in self.parameters.items())
-        return self.head + values.encode()
+        start, end = self._span("d")
+        return b"%s%d%s" % (self.line[:start], max(1, wait // MS), self.line[end:])
+
+    def with_parameters(self, parameters: dict[str, str]) -> OpenLine:
+        """Return the line with other parameters."""
+        head = self.line[: self._parameters_start()]
+        return OpenLine(head + ",".join(f"{name}={value}" for name, value in parameters.items()).encode())
+
+    def _parameters_start(self) -> int:
+        return len(self.line) - len(self.line.split(b" ", 3)[3])
+
+    def _span(self, name: str) -> tuple[int, int]:
+        """Return where the value of a parameter starts and ends; the same place twice if it is absent."""
+        first = self._parameters_start()
+        prefix = f"{name}=".encode()
+        start = first if self.line.startswith(prefix, first) else self.line.find(b"," + prefix, first) + 1
+        if not start:
+            return 0, 0
+        start += len(prefix)
+        end = self.line.find(b",", start)
+        return start, end if end >= 0 else len(self.line)
 
 
 class HandoverState(msgspec.Struct, frozen=True, array_like=True):
@@ -88,8 +119,7 @@
     wait = parameters.get("d", "")
     if not (_ID.fullmatch(parts[1]) and parts[2] and numbers_valid and parameters.get("c") and _COUNT.fullmatch(wait)):
         return None
-    head = " ".join(parts[:3]).encode() + b" "
-    return OpenLine(head, parts[2], parameters) if 0 < int(wait) <= MAX_WAIT_MS else None
+    return OpenLine(line) if 0 < int(wait) <= MAX_WAIT_MS else None
 
 
 def may_begin_open(part: bytes) -> bool:
--- /dev/null
+++ b/tests/test_client_memory.py
@@ -0,0 +1,59 @@
+"""What one client may keep of a relay's memory, whatever it sends."""
+
+from __future__ import annotations
+
+import tracemalloc
+from collections.abc import Callable
+
+import pytest
+from netfakes import Bench
+from test_net_parts import OPEN, establish
+from test_relay_process import World, open_line, world  # noqa: F401  (a fixture)
+
+from scaledeal.net.buffers import MAX_LINE_BYTES
+from scaledeal.net.user_agent import MAX_EARLY_BYTES
+
+MAX_MEMORY_OF_A_CLIENT = 6 * MAX_LINE_BYTES  # the line, what is made of it, and the objects of a connection
+MANY_FIELDS = OPEN[:-2] + b"".join(b",%03x=1" % number for number in range(600)) + b"\r\n"
+
+
+def memory_of(clients: int, make: Callable[[], object]) -> float:
+    """Return the bytes that one of some clients keeps."""
+    kept = [make()]  # what is made once for all
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        kept += [make() for _ in range(clients)]
+        return (tracemalloc.get_traced_memory()[0] - before) / clients
+    finally:
+        tracemalloc.stop()
+
+
+# Guards against a first line of very many short fields that is kept as objects: 440 of them took 30 MB.
+def test_a_first_line_of_very_many_fields_takes_no_more_memory_than_another() -> None:
+    bench = Bench(descriptors=1024)
+    numbers = iter(range(1000))
+
+    def client_with(line: bytes) -> None:
+        establish(bench, line.replace(b"9b1f", b"%d" % next(numbers)))[0].flush()
+
+    few = memory_of(50, lambda: client_with(OPEN))
+    many = memory_of(50, lambda: client_with(MANY_FIELDS))
+    assert many - few < MAX_MEMORY_OF_A_CLIENT, (
+        f"{many:.0f} bytes for {len(MANY_FIELDS)} bytes, {few:.0f} for a short one"
+    )
+
+
+# Guards against lines before the answer that are bounded by their number alone: 440 clients kept 28 MB.
+@pytest.mark.parametrize("size", [100, 1000, MAX_LINE_BYTES - 2])
+def test_what_a_client_sends_before_its_answer_is_bounded_in_bytes(size: int) -> None:
+    bench = Bench()
+    client = bench.client()
+    client.receive(OPEN)
+    line = b"M" * size + b"\r\n"
+    sent = 0
+    while not client.lines():
+        client.receive(line)
+        sent += len(line)
+    assert sent <= MAX_EARLY_BYTES + 2 * len(line) and client.lines() == [b"ERR"]
+    assert not bench.driver.transactions
