Pass many short lines as one block, and have connections that send much take turns

PINGs, unreadable first lines and ever new names at full speed do not show it.

Cause: each line was handled, queued and written by itself, however short: 899 bytecodes for 8 KiB in lines of 1 KiB, 426027 in empty ones; an object for each in the queue to a peer that reads nothing.

Change: over 8 lines read at once on an established connection pass as one block, in which BYE, MOVE, LOAD and the last line are found.

tests/test_line_blocks.py: on the code before work grows with lines (both directions). Lines in blocks mean the same as one by one (300 drawn cases). Rejected: a limit on lines a second, as none may be held back for over a second.

--- a/scaledeal/net/app_server.py
+++ b/scaledeal/net/app_server.py
@@ -31,6 +31,12 @@
     def link_lost(self, broke: bool) -> None:
         """Handle the end of the connection; ``broke`` is False if it was closed in order or by this end."""
 
+    def takes_blocks(self) -> bool:
+        """Return whether many lines that are read at once are handed over as one block."""
+
+    def block_received(self, block: bytes) -> None:
+        """Handle many lines, with their ends."""
+
 
 class AppServerLink(LineLink):
     """A connection to an application server; every event goes to its owner."""
@@ -48,6 +54,14 @@
         """Forward the line to the owner."""
         self.owner.line_received(line)
 
+    def takes_blocks(self) -> bool:
+        """Leave it to the owner."""
+        return self.owner.takes_blocks()
+
+    def block_received(self, block: bytes) -> None:
+        """Forward the lines to the owner."""
+        self.owner.block_received(block)
+
     def peer_ended_sending(self) -> None:
         """Treat the end of an application server's sending as the end of the connection."""
         self.close()
--- a/scaledeal/net/attempt.py
+++ b/scaledeal/net/attempt.py
@@ -16,11 +16,12 @@
 from scaledeal.net import wording
 from scaledeal.net.app_server import AppServerLink, dial
 from scaledeal.net.buffers import BufferPool
-from scaledeal.net.lines import LineLink
+from scaledeal.net.lines import END, LineLink
 from scaledeal.net.ports import Connector, Reactor, Timer
 from scaledeal.net.sides import AttemptEvents
 
 NS_PER_S = 1e9
+MAX_LOADS_IN_BLOCK = 4  # LOAD lines that are read of many lines that came at once: a load and a delay, and some more
 HALF_CLOSE_TIMEOUT_S = 0.9  # time in which an application server can close a connection whose client has ended sending
 
 
@@ -56,6 +57,12 @@
     def read_ahead(self) -> None:
         """Read what the client has sent, so that its end is known before its request is sent on."""
 
+    def takes_blocks(self) -> bool:
+        """Return whether lines may be passed on as one block, unchanged."""
+
+    def pass_block(self, block: bytes) -> None:
+        """Send many lines to the client, with their ends."""
+
 
 _CLOSING_RESULTS = {wording.BYE: api.Result.OK, wording.MOVE: api.Result.CANCELLED, wording.ERR: api.Result.ERROR}
 _ANSWER_RESULTS = {**_CLOSING_RESULTS, wording.BUSY: api.Result.FULL}
@@ -151,8 +158,18 @@
             self.oldest_unanswered_at = self.oldest_unanswered_at or self.context.now()
             self.link.send(line)
 
+    def send_block(self, block: bytes) -> None:
+        """Send many lines of a client to the application server, with their ends."""
+        if self.stage is Stage.ESTABLISHED and not self.client_ended:
+            self.oldest_unanswered_at = self.oldest_unanswered_at or self.context.now()
+            self.link.send_block(block)
+
     # Events of the connection
 
+    def takes_blocks(self) -> bool:
+        """Return whether lines pass unchanged now, so that many of them may be handed over as one block."""
+        return self.stage is Stage.ESTABLISHED and self.peer.takes_blocks()
+
     def link_up(self) -> None:
         """Send the first line, unless the guard forbids it."""
         if self.stage is Stage.CONNECTING:
@@ -184,6 +201,21 @@
         elif self.stage is not Stage.ENDING:
             self._handle_answer(line)
 
+    def block_received(self, block: bytes) -> None:
+        """Pass many lines on; look at those that say something to the relay, of LOAD lines at the last ones."""
+        closing = wording.CLOSING_LINE.search(block)
+        if closing is not None:
+            # The last line is handled like a single one: it ends the connection.
+            block, last = block[: closing.start(1)], closing[1]
+        loads = wording.LOAD_LINE.findall(block)
+        self.peer.pass_block(block)
+        for line in loads[-MAX_LOADS_IN_BLOCK:]:
+            self._report_load(line)
+        if len(loads) < block.count(END):
+            self._note_answer(wording.first_word(block[block.rfind(END, 0, -len(END)) + len(END) :].rstrip(END)))
+        if closing is not None:
+            self._relay_line(last)
+
     def link_lost(self, broke: bool) -> None:
         """Report the end of the connection."""
         if self.stage is Stage.CONNECTING or self.stage is Stage.SENDING:
@@ -230,6 +262,14 @@
         if word == wording.LOAD:
             self._report_load(line)
             return
+        self._note_answer(word)
+        if word in (wording.BYE, wording.MOVE):
+            self.report = self.context.read_report(line)
+            self.stage, self.result = Stage.ENDING, self.result_if_lost
+            self.link.close()
+
+    def _note_answer(self, word: bytes) -> None:
+        """Note that the application server has returned a line, the last of which starts with ``word``."""
         if self.oldest_unanswered_at:
             duration = self.context.now() - self.oldest_unanswered_at
             self.oldest_unanswered_at = 0
@@ -237,10 +277,6 @@
         self.result_if_lost = _CLOSING_RESULTS.get(
             word, api.Result.CANCELLED if self.client_ended else api.Result.RESET
         )
-        if word in (wording.BYE, wording.MOVE):
-            self.report = self.context.read_report(line)
-            self.stage, self.result = Stage.ENDING, self.result_if_lost
-            self.link.close()
 
     def _report_load(self, line: bytes) -> None:
         amount = wording.number_or_nan(line.partition(b" ")[2].decode("ascii", "replace"))
--- a/scaledeal/net/carry.py
+++ b/scaledeal/net/carry.py
@@ -123,8 +123,7 @@
     agent.resumed(open_line, transaction, current)
     current.resumed(paused.asked_at)
     _adopt(client_context.attempt_context.reactor, descriptors[1], current.link)
-    agent.set_sink(current.link)
-    current.link.set_sink(agent)
+    agent.relay_with(current.link)
     agent.dataReceived(paused.from_client)
     current.link.dataReceived(paused.from_server)
     return True
--- a/scaledeal/net/health_probe.py
+++ b/scaledeal/net/health_probe.py
@@ -94,6 +94,13 @@
         else:
             self._finish_probe(api.Result.ERROR)
 
+    def takes_blocks(self) -> bool:
+        """Take lines one by one."""
+        return False
+
+    def block_received(self, block: bytes) -> None:
+        """Do nothing: never called."""
+
     def link_lost(self, broke: bool) -> None:
         """Report the loss of the connection if a probe was unanswered."""
         self.link = None
@@ -153,6 +160,13 @@
     def line_received(self, line: bytes) -> None:
         """Do nothing."""
 
+    def takes_blocks(self) -> bool:
+        """Ignore lines as they come."""
+        return False
+
+    def block_received(self, block: bytes) -> None:
+        """Do nothing."""
+
     def link_lost(self, broke: bool) -> None:
         """Do nothing."""
 
--- a/scaledeal/net/lines.py
+++ b/scaledeal/net/lines.py
@@ -13,11 +13,13 @@
 
 from scaledeal.net.buffers import MAX_LINE_BYTES, BufferPool
 from scaledeal.net.ports import Reactor, Timer, Transport
+from scaledeal.net.reading_turns import ReadingTurns
 
 END = b"\r\n"
 READ_BYTES = 2 * MAX_LINE_BYTES  # read at once; also queued for a slow peer before the other end pauses reading
 CLOSE_TIMEOUT_S = 0.9  # time in which a peer can read the last lines before its connection is reset
 MAX_DISCARDED_BYTES = 1 << 18  # read and dropped while closing; beyond it the peer's data is not read any more
+MAX_SINGLE_LINES = 8  # more lines that are read at once are handled as one block, where their owner takes blocks
 STALL_TIMEOUT_S = 10.0  # time in which a peer may read nothing while lines are queued for it
 
 
@@ -38,6 +40,9 @@
         self._partial_size = 0
         self._timer: Timer | None = None  # the close timeout while closing, the stall timeout while reading is paused
         self._sink: LineLink | None = None
+        self._turns: ReadingTurns | None = None
+        self._waits_for_turn = False  # reading is paused until then
+        self._paused_by_sink = False
         self._peer_ended = False
         self._discarded = 0
 
@@ -46,6 +51,13 @@
     def line_received(self, line: bytes) -> None:
         """Handle one line, without its end."""
 
+    def takes_blocks(self) -> bool:
+        """Return whether many lines that are read at once are handed to ``block_received``."""
+        return False
+
+    def block_received(self, block: bytes) -> None:
+        """Handle many lines at once, each with its end and none of them too long."""
+
     def partial_line_received(self, part: bytes) -> None:
         """Handle the beginning of an incomplete line: all of it that has been received so far."""
 
@@ -66,8 +78,12 @@
 
     def send(self, line: bytes) -> None:
         """Queue one line; ignored if the connection is closing or lost."""
+        self.send_block(line + END)
+
+    def send_block(self, block: bytes) -> None:
+        """Queue lines with their ends; ignored if the connection is closing or lost."""
         if self.wire is not None and not self.closing:
-            self.wire.write(line + END)
+            self.wire.write(block)
 
     def end(self) -> None:
         """Write the queued lines, end the sending, and close once the peer has ended its own sending.
@@ -110,6 +126,17 @@
             self._sink = other
             other.wire.registerProducer(self, True)
 
+    def take_turns(self, turns: ReadingTurns) -> None:
+        """Take turns with other connections from now on, whenever this one has sent much in one read."""
+        self._turns = turns
+
+    def read_on(self) -> None:
+        """Read again at this connection's turn."""
+        if self._waits_for_turn:
+            self._waits_for_turn = False
+            if self.wire is not None and not self.closing and not self._paused_by_sink:
+                self.wire.resumeProducing()
+
     def has_partial_line(self) -> bool:
         """Return whether the beginning of an incomplete line has been received."""
         return self._partial is not None
@@ -127,6 +154,7 @@
         The connection must be established.
         """
         assert self.wire is not None
+        self._waits_for_turn = False
         self.wire.pauseProducing()
         return self.wire.getHandle().fileno(), bytes(memoryview(self._partial or b"")[: self._partial_size])
 
@@ -151,13 +179,16 @@
 
     def pauseProducing(self) -> None:  # noqa: N802, D102
         if self.wire is not None and not self.closing:
+            self._paused_by_sink = True
             self.wire.pauseProducing()
             self._set_timer(STALL_TIMEOUT_S, self._stalled)
 
     def resumeProducing(self) -> None:  # noqa: N802, D102
+        self._paused_by_sink = False
         if self.wire is not None and not self.closing:
             self._stop_timer()
-            self.wire.resumeProducing()
+            if not self._waits_for_turn:
+                self.wire.resumeProducing()
 
     def stopProducing(self) -> None:  # noqa: N802, D102
         """Do nothing: the owners of both ends close them."""
@@ -172,12 +203,19 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802, D102
         self.bytes_received += len(data)
+        if len(data) >= MAX_LINE_BYTES and self._turns is not None and self.wire is not None and not self.closing:
+            self._wait_for_turn(self._turns, self.wire)
         if self.closing:
             self._discard(len(data))
             return
         if self._partial is not None:
             data = bytes(memoryview(self._partial)[: self._partial_size]) + data
             self._free_buffer()
+        # The work and the memory for each line would make a peer that sends very short ones hold up all others.
+        block_end = data.rfind(END) + len(END)
+        if self.takes_blocks() and data.count(END) > MAX_SINGLE_LINES and not has_long_line(data[:block_end]):
+            block, data = data[:block_end], data[block_end:]
+            self.block_received(block)
         *lines, rest = data.split(self.delimiter)
         for line in lines:
             if self.closing:
@@ -195,6 +233,12 @@
         self._partial[: len(rest)] = rest
         self.partial_line_received(rest)
 
+    def _wait_for_turn(self, turns: ReadingTurns, wire: Transport) -> None:
+        if not self._waits_for_turn:
+            self._waits_for_turn = True
+            wire.pauseProducing()
+            turns.wait(self)
+
     def readConnectionLost(self) -> None:  # noqa: N802, D102
         self._peer_ended = True
         if not self.closing:
@@ -221,7 +265,7 @@
     def _begin_closing(self) -> Timer | None:
         if self.wire is None or self.closing:
             return None
-        self.closing = True
+        self.closing, self._waits_for_turn = True, False
         self.wire.unregisterProducer()
         return self._set_timer(CLOSE_TIMEOUT_S, self.reset)
 
@@ -244,3 +288,14 @@
         if self._partial is not None:
             self.pool.give_back(self._partial)
         self._partial = None
+
+
+def has_long_line(block: bytes) -> bool:
+    """Return whether a block of whole lines has one above ``MAX_LINE_BYTES``, in a time by its bytes alone."""
+    start = 0
+    while len(block) - start > MAX_LINE_BYTES:
+        end = block.rfind(END, start, start + MAX_LINE_BYTES)
+        if end < 0:
+            return True
+        start = end + len(END)
+    return False
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -12,6 +12,7 @@
 from scaledeal.net.attempt import NS_PER_S, AttemptContext, LineAttempt
 from scaledeal.net.buffers import MAX_LINE_BYTES
 from scaledeal.net.lines import LineLink
+from scaledeal.net.reading_turns import ReadingTurns
 from scaledeal.net.request_ids import ClaimResult, RequestIds
 from scaledeal.net.sides import Agent, AttemptEvents, ClientRequest, PausedConnection, ResumableSession, SessionOpener
 from scaledeal.net.transaction import Transaction
@@ -41,6 +42,7 @@
     admission: Admission
     start_transaction: Callable[[ClientRequest, Agent], Transaction]
     is_ready: Callable[[], bool]  # whether a PING of a front is answered with PONG
+    reading_turns: ReadingTurns = msgspec.field(default_factory=ReadingTurns)
     session_openers: list[SessionOpener] = msgspec.field(default_factory=list)  # none or one, for resumable sessions
     request_ids: RequestIds = msgspec.field(default_factory=RequestIds)  # the driver's
 
@@ -117,6 +119,15 @@
                 self._client_left(False)
                 self._reject("flooded")
 
+    def takes_blocks(self) -> bool:
+        """Return whether lines pass unchanged now: the connection is established, and has no resumable session."""
+        return self.stage is Stage.ESTABLISHED and self.session is None and self.current is not None
+
+    def block_received(self, block: bytes) -> None:
+        """Pass many lines of the client on."""
+        if self.current is not None:
+            self.current.send_block(block)
+
     def partial_line_received(self, part: bytes) -> None:
         """Record in the admission that the client is writing its request."""
         if self.stage is Stage.FIRST_LINE and wording.may_begin_open(part):
@@ -378,13 +389,23 @@
         self.stage = Stage.ESTABLISHED
         for next_line in [line] if self.session is None else self.session.up(line):
             self.send(next_line)
-        self.set_sink(link)
-        link.set_sink(self)
+        self.relay_with(link)
         early, self.early = self.early, []
         for next_line in early:
             self.line_received(next_line)
         return True
 
+    def relay_with(self, link: LineLink) -> None:
+        """Relay lines to and from an application server's connection, neither faster than the other takes them."""
+        self.set_sink(link)
+        link.set_sink(self)
+        self.take_turns(self.client_context.reading_turns)
+        link.take_turns(self.client_context.reading_turns)
+
+    def pass_block(self, block: bytes) -> None:
+        """Pass many lines on to the client."""
+        self.send_block(block)
+
     def pass_on(self, line: bytes) -> None:
         """Pass a line on to the client."""
         if self.session is None:
--- a/scaledeal/net/wording.py
+++ b/scaledeal/net/wording.py
@@ -32,6 +32,8 @@
 MAX_WAIT_MS = 86_400_000  # a day
 _ID = re.compile(r"[0-9A-Za-z][0-9A-Za-z_.:-]{0,127}")
 _NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,18})?([eE][+-]?[0-9]{1,2})?")
+CLOSING_LINE = re.compile(rb"(?:\A|(?<=\r\n))((?:BYE|MOVE)(?: .*?)?)\r\n", re.DOTALL)  # its first group is the line
+LOAD_LINE = re.compile(rb"(?:\A|(?<=\r\n))(LOAD(?: .*?)?)\r\n", re.DOTALL)
 _COUNT = re.compile(r"[0-9]{1,9}")
 
 
