Keep at most 256 claims of ids waiting for an old process that does not answer

Change: from 256 unanswered claims on the answer is "undecided" at once (BUSY), as it would be 0.5 s later; the first late answer frees a place. tests/test_request_ids.py has the bound.

--- a/scaledeal/net/request_ids.py
+++ b/scaledeal/net/request_ids.py
@@ -19,6 +19,7 @@
 from scaledeal.net.ports import Reactor, Timer
 
 CLAIM_TIMEOUT_S = 0.5  # for the old process to answer; an answer so long after a deadline is still in time
+MAX_LATE_CLAIMS = 256  # that the old process has not answered; while there are as many, it is asked no further
 
 
 class ClaimResult(Enum):
@@ -180,6 +181,10 @@
 
     def ask(self, request_id: str, decide: Decide, settle: Callable[[], None]) -> None:
         """Ask for an id; ``decide`` is called once the answer has come or is late, ``settle`` when a late one comes."""
+        if len(self._late) >= MAX_LATE_CLAIMS:
+            # It is stopped or hung, and what is sent to it would only wait in memory.
+            decide(ClaimResult.UNDECIDED)
+            return
         self._claims += 1
         number = self._claims
         timer = self.reactor.callLater(CLAIM_TIMEOUT_S, self._timed_out, number)
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -16,7 +16,14 @@
 
 from scaledeal import interface as api
 from scaledeal.net.handover_messages import ClaimDecided, ClaimId, ReleaseId
-from scaledeal.net.request_ids import CLAIM_TIMEOUT_S, ClaimResult, Decide, RemoteAuthority, RequestIds
+from scaledeal.net.request_ids import (
+    CLAIM_TIMEOUT_S,
+    MAX_LATE_CLAIMS,
+    ClaimResult,
+    Decide,
+    RemoteAuthority,
+    RequestIds,
+)
 
 IDS = st.sampled_from(["a", "b", "c"])
 
@@ -349,3 +356,17 @@
     client.lose(error.ConnectionLost())
     bench.reactor.advance(0)
     assert not bench.driver.request_ids.open_here() and server.lost
+
+
+# Guards against memory that grows with the requests at a new version while the old process is stopped.
+def test_an_old_process_that_does_not_answer_is_asked_a_bounded_number_of_times():
+    reactor, sent, results = FakeReactor(), [], []
+    ids = RequestIds()
+    ids.authority = remote = RemoteAuthority(reactor, sent.append)
+    for number in range(2000):
+        ids.claim(f"n{number}", results.append)
+        reactor.advance(CLAIM_TIMEOUT_S)
+    assert results == [ClaimResult.UNDECIDED] * 2000 and len(sent) == MAX_LATE_CLAIMS
+    remote.answered(ClaimDecided(1, False))
+    ids.claim("a", results.append)
+    assert sent[-1] == ClaimId(MAX_LATE_CLAIMS + 1, "a")
