Refuse an id that may have run when its client left and it comes again

Cause: an id was free once its request was over and no attempt was out; of a client that has left, the request may have run all the same. The old process of an upgrade told the new one of open ids alone.

Change: an id is used up when its request may have run and its client left before the answer or got a failure; where the class may not simply be repeated, also when it was served or refused.

--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -200,7 +200,7 @@
 
     def release_id(self, transaction: Transaction) -> None:
         """Free the id of a request that is over."""
-        self.request_ids.release(transaction.request.request_id)
+        self.request_ids.release(transaction.request.request_id, transaction.used_up)
 
     def handed_over(self, transaction: Transaction) -> None:
         """Record that another process of this relay has the connection, and with it the id."""
--- a/scaledeal/net/handover.py
+++ b/scaledeal/net/handover.py
@@ -46,11 +46,13 @@
 from scaledeal.net.offers import next_offer_path
 from scaledeal.net.ports import Port, Reactor, Timer
 from scaledeal.net.request_ids import Authority, ClaimResult, Decide, RemoteAuthority
+from scaledeal.net.used_ids import UsedIds
 
 log = logging.getLogger("scaledeal.handover")
 
 SOCKET_TIMEOUT_S = 2.0  # for the old process to accept the claim, and then to hand its socket over
 MAX_OFFERS_TRIED = 4  # the newest first
+USED_IDS_PER_MESSAGE = 1000  # 20 digits each
 MAX_MESSAGE_BYTES = 1 << 15  # the longest message holds three lines of a client, encoded
 UPDATE_INTERVAL_S = 0.2  # between two reports of spare descriptors and established connections
 
@@ -114,10 +116,14 @@
 
     noisy = False
 
-    def __init__(self, reactor: Reactor, location: OfferLocation, relay: OfferingRelay) -> None:
+    def __init__(
+        self, reactor: Reactor, location: OfferLocation, relay: OfferingRelay, used_ids: UsedIds | None = None
+    ) -> None:
+        """``used_ids`` are told to a successor, and those of its own are added."""
         self.reactor = reactor
         self.location = location
         self.relay = relay
+        self.used_ids = UsedIds() if used_ids is None else used_ids
         self.successor: Successor | None = None
         self.port: Port | None = None
 
@@ -158,6 +164,7 @@
     def __init__(self, offer: Offer) -> None:
         self.offer = offer
         self.sent_spare = -1
+        self.sent_used_ids = 0  # the number of the latest one that was sent
         self.sent_connections: dict[str, EstablishedConnection] = {}
         self.timer: Timer | None = None
 
@@ -182,6 +189,8 @@
         if isinstance(message, ClaimId):
             relay.id_claimed(message.request_id, partial(self._decided, message.number))
         elif isinstance(message, ReleaseId):
+            if message.used:
+                self.offer.used_ids.add(message.request_id)
             relay.id_released(message.request_id)
         elif isinstance(message, ConnectionTaken):
             relay.connection_taken(message.handle)
@@ -207,10 +216,7 @@
 
     def _send_updates(self) -> None:
         """Send what has changed since the last update, and schedule the next."""
-        spare = self.offer.relay.spare_descriptors()
-        if spare != self.sent_spare:
-            self.sent_spare = spare
-            self._send(SpareDescriptors(spare, decides_ids=True))
+        self.send_relay_state()
         connections, sent = self.offer.relay.established_connections(), self.sent_connections
         for handle in sent.keys() - connections.keys():
             self._send(ConnectionEnded(handle))
@@ -220,6 +226,17 @@
         self.sent_connections = connections
         self.timer = self.offer.reactor.callLater(UPDATE_INTERVAL_S, self._send_updates)
 
+    def send_relay_state(self) -> None:
+        """Send how many descriptors the successor may hold, and which ids must not be used again, if that is news."""
+        spare = self.offer.relay.spare_descriptors()
+        used, self.sent_used_ids = self.offer.used_ids.added_since(self.sent_used_ids)
+        if spare == self.sent_spare and not used:
+            return
+        self.sent_spare = spare
+        for first in range(0, max(1, len(used)), USED_IDS_PER_MESSAGE):
+            digests = used[first : first + USED_IDS_PER_MESSAGE]
+            self._send(SpareDescriptors(spare, decides_ids=True, used_ids=digests))
+
     def _send(self, message: msgspec.Struct) -> None:
         cast(Any, self).sendLine(msgspec.json.encode(message))
 
@@ -254,10 +271,14 @@
 
     noisy = False
 
-    def __init__(self, reactor: Reactor, location: OfferLocation, relay: ClaimingRelay) -> None:
+    def __init__(
+        self, reactor: Reactor, location: OfferLocation, relay: ClaimingRelay, used_ids: UsedIds | None = None
+    ) -> None:
+        """``used_ids`` gets the ids of which the old process tells that they must not be used again."""
         self.reactor = reactor
         self.location = location
         self.relay = relay
+        self.used_ids = UsedIds() if used_ids is None else used_ids
         self.offers = location.offers()
         self.predecessor: Predecessor | None = None  # the process that has handed its socket over
 
@@ -306,6 +327,7 @@
             self._abort()
             return
         if isinstance(message, SpareDescriptors):
+            self.claim.used_ids.add_digests(message.used_ids)
             relay.descriptors_left(message.spare)
         elif isinstance(message, EstablishedConnection):
             relay.connection_reported(message)
--- a/scaledeal/net/handover_messages.py
+++ b/scaledeal/net/handover_messages.py
@@ -15,6 +15,7 @@
 
     spare: int
     decides_ids: bool = False  # whether it answers claims of ids
+    used_ids: list[int] = []  # digests of further ids that must not be used again
 
 
 class EstablishedConnection(msgspec.Struct, frozen=True, tag="stands"):
@@ -61,6 +62,7 @@
     """Sent by the new process: no request and no claim holds this id there any more."""
 
     request_id: str
+    used: bool = False  # whether the id must not be used again
 
 
 class ClaimDecided(msgspec.Struct, frozen=True, tag="decided"):
--- a/scaledeal/net/request_ids.py
+++ b/scaledeal/net/request_ids.py
@@ -2,7 +2,8 @@
 
 While a new version takes over, two processes of a relay or more serve clients. The one that was there first decides: a
 later one asks the process that it takes over from before it begins a request, and that process asks its own predecessor
-in turn. An id is free again once its request is over and no attempt of it is under way.
+in turn. An id is free again once its request is over and no attempt of it is under way; not if it may have run and its
+client left, as it would run a second time.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 
 from scaledeal.net.handover_messages import ClaimDecided, ClaimId, ReleaseId
 from scaledeal.net.ports import Reactor, Timer
+from scaledeal.net.used_ids import UsedIds
 
 CLAIM_TIMEOUT_S = 0.5  # for the old process to answer; an answer so long after a deadline is still in time
 MAX_LATE_CLAIMS = 256  # that the old process has not answered; while there are as many, it is asked no further
@@ -45,6 +47,9 @@
     def release(self, request_id: str) -> None:
         """Tell that no request or claim holds this id here; if that is known already it is ignored."""
 
+    def release_used(self, request_id: str) -> None:
+        """Tell the same of an id that must not be used again."""
+
 
 class RequestIds:
     """The ids that are open at this process, and at the processes that take over from it.
@@ -55,6 +60,7 @@
 
     def __init__(self) -> None:
         self.authority: Authority | None = None  # while a process that this one takes over from can be asked
+        self.used = UsedIds()  # of which none is granted again
         self.undecided = 0  # claims of this process's own clients that wait for an answer
         self._own: Counter[str] = Counter()
         self._successors: dict[str, set[int]] = {}  # the numbers of the claims and connections that hold an id there
@@ -68,9 +74,13 @@
         """Return the ids that are open at this process."""
         return set(self._own)
 
+    def may_open(self, request_id: str) -> bool:
+        """Return whether a request with this id may begin, as far as this process knows."""
+        return not self.is_open(request_id) and request_id not in self.used
+
     def claim(self, request_id: str, decide: Decide) -> None:
         """Claim an id for a client of this process; ``decide`` is called once, at once or later."""
-        if self.is_open(request_id):
+        if not self.may_open(request_id):
             decide(ClaimResult.IN_USE)
             return
         self._own[request_id] += 1
@@ -88,9 +98,14 @@
         """Record the id of a connection that was handed over to this process."""
         self._own[request_id] += 1
 
-    def release(self, request_id: str) -> None:
-        """Free an id of this process, whose request is over; an id that is not open here is ignored."""
+    def release(self, request_id: str, used: bool = False) -> None:
+        """Free an id of this process, whose request is over; an id that is not open here is ignored.
+
+        One that is ``used`` is not granted again.
+        """
         if request_id in self._own:
+            if used:
+                self.used.add(request_id)
             self._discard_own(request_id)
             self._release_if_free(request_id)
 
@@ -98,7 +113,7 @@
 
     def claim_for_successor(self, request_id: str, decide: Decide) -> None:
         """Claim an id for the process that takes over; ``decide`` is called once, at once or later."""
-        if self.is_open(request_id):
+        if not self.may_open(request_id):
             decide(ClaimResult.IN_USE)
             return
         number = self._hold_for_successor(request_id)
@@ -157,7 +172,11 @@
             del self._own[request_id]
 
     def _release_if_free(self, request_id: str) -> None:
-        if self.authority is not None and not self.is_open(request_id):
+        if self.authority is None or self.is_open(request_id):
+            return
+        if request_id in self.used:
+            self.authority.release_used(request_id)
+        else:
             self.authority.release(request_id)
 
 
@@ -195,6 +214,10 @@
         """Tell the old process that no request or claim holds this id here."""
         self.send(ReleaseId(request_id))
 
+    def release_used(self, request_id: str) -> None:
+        """Tell the old process the same of an id that must not be used again."""
+        self.send(ReleaseId(request_id, used=True))
+
     def answered(self, message: ClaimDecided) -> None:
         """Handle the answer to a claim, which may have timed out."""
         if claim := self._waiting.pop(message.number, None):
--- a/scaledeal/net/succession.py
+++ b/scaledeal/net/succession.py
@@ -42,8 +42,8 @@
         self.inherited = InheritedConnections(driver)
         self.port: Port | None = None  # the listening port, from when it accepts clients
         self.replaced = False  # a new version accepts clients in place of this process
-        self.claim = Claim(reactor, location, self) if location else None
-        self.offer = Offer(reactor, location, self) if location else None
+        self.claim = Claim(reactor, location, self, self.request_ids.used) if location else None
+        self.offer = Offer(reactor, location, self, self.request_ids.used) if location else None
         self.carrier = Carrier(driver, self.offer) if self.offer else None
 
     def begin(self) -> None:
@@ -71,6 +71,8 @@
         self.port = None
         if self.carrier is not None and self.offer is not None:
             self.carrier.stop()
+            if self.offer.successor is not None:
+                self.offer.successor.send_relay_state()
             self.offer.stopListening()
 
     # As the old process
--- a/scaledeal/net/transaction.py
+++ b/scaledeal/net/transaction.py
@@ -14,7 +14,7 @@
 from scaledeal.net.figures import EndCause, Figures
 from scaledeal.net.load_lines import LoadLines
 from scaledeal.net.ports import Timer
-from scaledeal.net.request_guard import RequestGuard
+from scaledeal.net.request_guard import NEVER_RAN, RequestGuard
 from scaledeal.net.sides import Agent, Attempt, ClientRequest, PausedConnection
 
 MS = 1_000_000
@@ -84,6 +84,9 @@
         self.agent = agent
         self.state = State.WAITING
         self.id_released = False
+        self.written = False  # the first line of the current attempt is written whole
+        self.may_have_run = False  # one was, and its outcome does not prove that the request never ran
+        self.abandoned = False  # the client left before the answer, or was told that the request failed
         self.guarded = host.guard.open(
             request.request_id or handle, request.request_class, request.deadline, bool(request.previous_server)
         )
@@ -129,6 +132,12 @@
             self.counts.faulted += 1
             self.agent.fail()
 
+    @property
+    def used_up(self) -> bool:
+        """Whether the id must not be used again: the request may have run, and would run a second time."""
+        repeatable = self.guarded.semantics is api.Semantics.REPEATABLE
+        return (self.abandoned or not repeatable) and (self.may_have_run or self.written)
+
     def cancel(self, number: int) -> None:
         """Cancel the attempt of this number, if it is the current one and its connection is not established."""
         if self.current is not None and number == self.attempts - 1 and self.state is not State.ESTABLISHED:
@@ -155,6 +164,7 @@
     def resumed(self, server: str) -> None:
         """Start as established: another process has set up the connection."""
         self.state, self.server, self.attempts = State.ESTABLISHED, server, 1
+        self.may_have_run = True
         self.host.guard.answered(self.guarded)
         self._stop_timer()
 
@@ -169,6 +179,7 @@
         """Release the connection: another process has taken it."""
         if self.state is State.OFFERED:
             self.state, self.current = State.OVER, None
+            self.may_have_run = False  # from here on that is for the other process to say
             self.host.ended(self, EndCause.HANDED_OVER)
             self.host.handed_over(self)
             self.agent.release()
@@ -194,11 +205,12 @@
     def request_written(self) -> None:
         """Count an attempt whose first line is completely written."""
         self.counts.relayed += 1
+        self.written = True
 
     def established(self) -> None:
         """Record that the connection is established, and tell the decision module."""
         self.counts.fulfilled += 1
-        self.state = State.ESTABLISHED
+        self.state, self.may_have_run, self.written = State.ESTABLISHED, True, False
         self.host.guard.answered(self.guarded)
         self._stop_timer()
         request = self.request
@@ -263,6 +275,8 @@
         """Handle the end of the current attempt, and post its outcome."""
         self.current = None
         self.host.guard.attempt_ended(self.guarded, result)
+        self.may_have_run |= self.written and result not in NEVER_RAN
+        self.written = False
         was_established = self.state is State.ESTABLISHED
         if was_established or (result is api.Result.OK and self.state is State.WAITING):
             self.counts.fulfilled += not was_established  # served completely by its first answer
@@ -288,6 +302,7 @@
             self._release_id_if_over()
         elif self.state is State.WAITING:
             self.state = State.OVER
+            self.abandoned = True
             self.host.guard.client_left(self.guarded)
             self.host.ended(self, EndCause.CLIENT_LEFT)
             self._stop_timer()
@@ -318,6 +333,7 @@
         if self.state is not State.WAITING:
             return False
         self.state = State.OVER
+        self.abandoned = cause is not EndCause.REFUSED
         self.host.guard.answered(self.guarded)
         self.host.ended(self, cause)
         self._stop_timer()
--- a/scaledeal/net/user_agent.py
+++ b/scaledeal/net/user_agent.py
@@ -202,9 +202,10 @@
         if read is None or number is None or tenant is None:
             self._reject("invalid request")
             return
-        if context.request_ids.is_open(read.id):
-            # Servers reject a second connection under the same id, and the rejections would count against them.
-            self._reject("id in use")
+        if not context.request_ids.may_open(read.id):
+            # Servers reject a second connection under the same id, and the rejections would count against them; and a
+            # request that may have run would run a second time.
+            self._reject("id in use" if context.request_ids.is_open(read.id) else "id used before")
             return
         request = client_request(read, number, tenant, context.attempt_context.now())
         self._request_received(Stage.REQUESTED, read)
