Forget servers that left the list, beyond the latest 4,096, wherever they are known by name

Found by reading, not reported.

Change: RequestGuard.listed tells which servers left so long ago that they are forgotten; the driver has the addresses, delays, LOAD lines and reports forget them too. An empty ring goes with its last server. An attempt is begun at live servers alone, so no rule asks for the forgotten ones.

tests/test_client_memory.py: 8,192 names, one after the other, as changes and as whole lists; on the code before more than 4,098 were kept. Ruled out: forgetting at once, as a late attempt must still meet the drain of its server.

--- a/scaledeal/net/delays.py
+++ b/scaledeal/net/delays.py
@@ -32,6 +32,11 @@
         """Return whether a server has answered a message that was passed on after this moment."""
         return self.answered.get(server, 0) > moment
 
+    def forget(self, server: str) -> None:
+        """Forget a server that has left the list."""
+        self.answered.pop(server, None)
+        self.slow.pop(server, None)
+
     def should_report(self, server: str, duration: int) -> bool:
         """Return whether a message delay of ``duration`` nanoseconds is to be reported; if so, record the report."""
         reported_at = self.slow.get(server)
--- a/scaledeal/net/driver.py
+++ b/scaledeal/net/driver.py
@@ -258,8 +258,10 @@
     def listed(self, event: api.Membership, addresses: dict[str, str]) -> None:
         """Handle a change of the server list; ``addresses`` are by server name."""
         self.addresses.update(_valid_addresses(addresses))
-        self.guard.listed(event)
+        forgotten = self.guard.listed(event)
         self.post(event)
+        for server in forgotten:
+            self._forget_server(server)
         stopped = {e.server for e in event.servers if e.state is not api.ServerState.LIVE}
         if event.kind is api.MembershipKind.FULL:
             stopped |= self.addresses.keys() - {e.server for e in event.servers}
@@ -273,6 +275,13 @@
             if transaction.handle in self.transactions:
                 self._connect_to_previous_server(transaction)
 
+    def _forget_server(self, server: str) -> None:
+        """Forget a server that left the list long ago: names that are used once would fill the memory."""
+        self.addresses.pop(server, None)
+        self.delays.forget(server)
+        self.load_lines.forget_server(server)
+        self.load_reports.forget(server)
+
     # Actions
 
     def _send(self, action: api.Send) -> None:
--- a/scaledeal/net/load_lines.py
+++ b/scaledeal/net/load_lines.py
@@ -114,6 +114,11 @@
         """Drop the load of a connection that is over."""
         self.loads.pop(connection, None)
 
+    def forget_server(self, server: str) -> None:
+        """Forget a server that has left the list, but for a value of it that is held back."""
+        if server not in self.holding_back:
+            self.servers.pop(server, None)
+
     def _load(self, connection: str, amount: float) -> Reading:
         self.loads[connection] = amount
         return api.NoteKind.LOAD, amount
--- a/scaledeal/net/load_reports.py
+++ b/scaledeal/net/load_reports.py
@@ -46,6 +46,10 @@
         )
         return replace(event, report=())
 
+    def forget(self, server: str) -> None:
+        """Forget a server that has left the list."""
+        self.without_report.pop(server, None)
+
     def _record_probe(self, server: str, whole: bool) -> None:
         # Logged only after several in a row: a server that has just started has no report yet.
         if whole:
--- a/scaledeal/net/request_guard.py
+++ b/scaledeal/net/request_guard.py
@@ -17,6 +17,7 @@
 TIMEOUT_SLACK_NS = 50_000_000  # by which each of the protocol's time limits is longer on sockets
 LATE_ANSWER_NS = 500_000_000  # time after the deadline from which an answer counts as lost
 MAX_SILENCE_NS = 7_000_000_000  # time that a connection may return nothing
+MAX_GONE_SERVERS = 4096  # names of servers that have left the list that are still known; the oldest is forgotten first
 MAX_HOLD_UP_NS = 150_000_000  # time that the relay may be held up between reading its clock and writing
 
 NEVER_RAN = frozenset((api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.NOT_SENT))
@@ -64,22 +65,28 @@
         self.locations: dict[str, Location] = {}
         self.draining: dict[str, int] = {}  # servers that take nothing new, and since when this relay has known, in ns
         self.grace = max(0, grace - MAX_HOLD_UP_NS)
+        self._gone: dict[str, None] = {}  # servers that have left the list, the latest last
 
     # Servers
 
-    def listed(self, event: api.Membership) -> None:
-        """Record a list of servers."""
+    def listed(self, event: api.Membership) -> list[str]:
+        """Record a list of servers; return those that have left it so long ago that they are forgotten."""
         now = self.now()
         for entry in event.servers:
             self.locations[entry.server] = Location(entry.zone, entry.cell)
+            self._gone.pop(entry.server, None)
             if entry.state is api.ServerState.LIVE:
                 self.draining.pop(entry.server, None)
             else:
                 self.draining.setdefault(entry.server, now)
+            if entry.state is api.ServerState.GONE:
+                self._gone[entry.server] = None
         if event.kind is api.MembershipKind.FULL:
             listed = {entry.server for entry in event.servers}
-            for server in self.locations.keys() - listed:
+            for server in sorted(self.locations.keys() - listed - self._gone.keys()):
                 self.draining.setdefault(server, now)
+                self._gone[server] = None
+        return self._forget_gone()
 
     # Requests
 
@@ -195,6 +202,14 @@
 
     # Internal methods
 
+    def _forget_gone(self) -> list[str]:
+        forgotten = list(self._gone)[: max(0, len(self._gone) - MAX_GONE_SERVERS)]
+        for server in forgotten:
+            del self._gone[server]
+            self.locations.pop(server, None)
+            self.draining.pop(server, None)
+        return forgotten
+
     def _may_repeat(self, request: GuardedRequest, server: str) -> bool:
         before = request.may_have_run
         if before is None or request.semantics is api.Semantics.REPEATABLE:
--- a/scaledeal/server_table.py
+++ b/scaledeal/server_table.py
@@ -75,11 +75,11 @@
 
     def zone_ring(self, zone: int) -> ServerRing[Server]:
         """Return the live servers of a zone."""
-        return self._zone_rings.setdefault(zone, ServerRing())
+        return self._zone_rings.get(zone) or ServerRing()
 
     def cell_ring(self, cell: int) -> ServerRing[Server]:
         """Return the live servers of a cell."""
-        return self._cell_rings.setdefault(cell, ServerRing())
+        return self._cell_rings.get(cell) or ServerRing()
 
     def _join(self, server: Server) -> None:
         self.live[server.id] = server
@@ -96,6 +96,10 @@
         del self.live[server.id]
         for ring in self._rings(server):
             ring.remove(server)
+        if not self.zone_ring(server.zone):
+            del self._zone_rings[server.zone]
+        if not self.cell_ring(server.cell):
+            del self._cell_rings[server.cell]
         self.failing.pop(server.id, None)
         self._count_capacity(server, -1)
         self.cold.pop(server.id, None)
@@ -105,7 +109,8 @@
             self.cold_capacity = 0.0
 
     def _rings(self, server: Server) -> tuple[ServerRing[Server], ...]:
-        return self.ring, self.zone_ring(server.zone), self.cell_ring(server.cell)
+        zone_ring = self._zone_rings.setdefault(server.zone, ServerRing())
+        return self.ring, zone_ring, self._cell_rings.setdefault(server.cell, ServerRing())
 
     # Failures
 
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -4,14 +4,18 @@
 
 import tracemalloc
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
-from netfakes import Bench
+from netfakes import SETTINGS, Bench
 from test_net_parts import OPEN, establish
 from test_relay_process import World, open_line, world  # noqa: F401  (a fixture)
 
+from scaledeal import interface as api
 from scaledeal.net.buffers import MAX_LINE_BYTES
+from scaledeal.net.request_guard import MAX_GONE_SERVERS
 from scaledeal.net.user_agent import MAX_EARLY_BYTES
+from scaledeal.policy import Balancer
 
 MAX_MEMORY_OF_A_CLIENT = 6 * MAX_LINE_BYTES  # the line, what is made of it, and the objects of a connection
 MANY_FIELDS = OPEN[:-2] + b"".join(b",%03x=1" % number for number in range(600)) + b"\r\n"
@@ -57,3 +61,26 @@
         sent += len(line)
     assert sent <= MAX_EARLY_BYTES + 2 * len(line) and client.lines() == [b"ERR"]
     assert not bench.driver.transactions
+
+
+# Guards against names of servers that are kept for ever: each release brings new ones.
+@pytest.mark.parametrize("kind", [api.MembershipKind.CHANGES, api.MembershipKind.FULL])
+def test_servers_that_left_the_list_are_forgotten(kind: api.MembershipKind) -> None:
+    bench = Bench()
+    driver = bench.driver
+    driver.balancer = Balancer(replace(SETTINGS, may_probe=True, report_fields=(api.Field.UTILISATION,)), 1)
+    for number in range(2 * MAX_GONE_SERVERS):
+        name = f"n{number}"
+        driver.listed(api.Membership(kind, (api.ServerEntry(name, cell=number, zone=number),)), {name: "127.0.0.1:1"})
+        driver.delays.record_answer(name, 1)
+        driver.load_lines.read(name, "t", 100.0)
+        driver.post(api.ProbeResult(name, api.Result.OK, 1))
+        driver.listed(api.Membership(kind, (api.ServerEntry(name, api.ServerState.GONE),)), {})
+        bench.reactor.dialled.clear()
+    known = (driver.addresses, driver.guard.locations, driver.guard.draining, driver.delays.answered)
+    table = driver.balancer.table
+    assert (
+        max(map(len, (*known, driver.load_lines.servers, driver.load_reports.without_report))) <= MAX_GONE_SERVERS + 2
+    )
+    assert not table.by_name and len(table.weights._sorted) == len(table._cell_rings) == len(table._zone_rings) == 0
+    assert len(table._probe_queue) < 200 and not table.probed
