Tell a new version of each used id at once, and not five times a second

What callers could see: a client leaves at the old process of an upgrade, that process is killed within 0.2 s, and the same id runs again at the new one.

Change: UsedIds says when one is added, and the offer sends it to its successor at once.

--- a/scaledeal/net/handover.py
+++ b/scaledeal/net/handover.py
@@ -124,6 +124,7 @@
         self.location = location
         self.relay = relay
         self.used_ids = UsedIds() if used_ids is None else used_ids
+        self.used_ids.on_added = self._tell_used_ids
         self.successor: Successor | None = None
         self.port: Port | None = None
 
@@ -144,6 +145,11 @@
             self.port.stopListening()
             self.port = None
 
+    def _tell_used_ids(self) -> None:
+        """Tell the successor at once: this process may be killed before the next update."""
+        if self.successor is not None:
+            self.successor.send_relay_state()
+
     def buildProtocol(self, addr: IAddress | None) -> Successor:  # noqa: N802, D102
         return Successor(self)
 
--- a/scaledeal/net/used_ids.py
+++ b/scaledeal/net/used_ids.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from hashlib import blake2b
 
 MAX_USED_IDS = 8192
@@ -16,6 +17,7 @@
 
     def __init__(self, max_ids: int = MAX_USED_IDS) -> None:
         self.max_ids = max_ids
+        self.on_added: Callable[[], None] = lambda: None  # called after each addition
         self._numbers: dict[int, int] = {}  # by digest, the number of its addition
         self._added = 0
 
@@ -37,6 +39,8 @@
             self._numbers[digest] = self._added
             if len(self._numbers) > self.max_ids:
                 del self._numbers[next(iter(self._numbers))]
+        if digests:
+            self.on_added()
 
     def added_since(self, number: int) -> tuple[list[int], int]:
         """Return the digests added after the addition of this number, the oldest first, and the latest number."""
