Look at sound servers once when a request is placed, and wake a request by its own report alone

Change: servers that are warm, not failing, not assumed to drain and not being probed are passed by one look; holders of a group are put first without a sort; a report wakes whoever waits for it, the oldest held only if nobody does; slots of cold servers are asked for only where a request could wait for one. What is chosen stays the same; six of the module's test files hold unchanged.

--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -416,13 +416,13 @@
     def _waits_for_slot(self, request: RequestState, first: Server) -> bool:
         """Tell whether to wait for a slot at a cold server rather than use ``first``, and set a timer if so."""
         # Without waiting, a crowd of returning clients would all go to the warm server with the lowest reported load.
-        crowd = not request.has_roomy_pair or (
-            request.returning and self.cold_start.fleet_utilisation >= SLOTS_NEEDED_UTILISATION
-        )
-        cold = [s for s in self._nearby(request) if self._is_cold_with_room(s)] if crowd else []
+        crowd = not request.has_roomy_pair or (request.returning and self._needs_slots())
+        if first.warmth < 1 or not crowd or not self.table.cold or len(self.held) > MAX_WAITING_REQUESTS:
+            return False
+        cold = [s for s in self._nearby(request) if self._is_cold_with_room(s)]
         due = [self.now + self.cold_start.time_to_next_slot(s.slots, s.weight * s.warmth) for s in cold]
         latest = min(request.arrived_at + self.cold_start.window, request.deadline - self.set_up_time - 2 * TICK_NS)
-        if first.warmth < 1 or len(self.held) > MAX_WAITING_REQUESTS or min(due, default=latest) >= latest:
+        if min(due, default=latest) >= latest:
             return False
         if self.slot_timer_at <= self.now:
             self.slot_timer_at = min(due)
@@ -439,7 +439,7 @@
             ready = self._further_candidates(request, ring)
         # While the fleet is busy, cold servers with an open slot go first: a slot that lapses unused leaves its load
         # to warm servers that have too much already.
-        cold = [s for s in ready if self._is_cold_with_room(s)] if self._needs_slots() else []
+        cold = [s for s in ready if self._is_cold_with_room(s)] if self.table.cold and self._needs_slots() else []
         return cold or ready
 
     def _needs_slots(self) -> bool:
@@ -488,6 +488,16 @@
 
     def _in_rotation(self, live: Iterable[Server]) -> list[Server]:
         """Return which of these servers may get new connections."""
+        live, now = list(live), self.now
+        # Nothing is wrong with most servers, and that is quickly seen.
+        in_rotation = [
+            s
+            for s in live
+            if (s.warmth == 1 and not s.probe_pending and not s.failures and s.assumed_draining_until <= now)
+            or not (self._lacks_slot(s) or self._has_late_probe(s) or self._is_suspect(s))
+        ]
+        if in_rotation:
+            return in_rotation
         live = [s for s in live if not self._lacks_slot(s)]
         live = [s for s in live if not self._has_late_probe(s)] or live
         return [s for s in live if not self._is_suspect(s)] or live
@@ -532,7 +542,9 @@
             ranked.sort(key=lambda s: s.zone != self.settings.zone)
         if request.group:
             # A group at two servers costs twice, so the server that holds most of it goes first.
-            ranked.sort(key=lambda s: -s.groups.get(key, 0))
+            holders = self.holders.get(request.group, {})
+            holding = sorted((s for s in ranked if s.id in holders), key=lambda s: -s.groups.get(key, 0))
+            ranked = holding + [s for s in ranked if s.id not in holders] if holding else ranked
         # A saturated server loses its groups whole, one by one; new connections of those go elsewhere, so that its
         # groups are not scattered.
         ranked = [s for s in ranked if key not in s.leaving_groups] or ranked
@@ -827,7 +839,8 @@
             if event.result in (api.Result.TIMEOUT, api.Result.CONNECT_FAILED):
                 self._record_failure(server)
         self._place_if_held(waiting.values())
-        self._place_held()
+        if not waiting:
+            self._place_held()
 
     def _on_timer(self, event: api.Timer) -> None:
         """Place held requests, and do the regular work at a tick."""
