--- a/scaledeal/policy.py
+++ b/scaledeal/policy.py
@@ -94,9 +94,8 @@
         self.holders: dict[str, dict[str, Server]] = {}  # by group, the servers with connections of it
         self.draining: dict[Server, int] = {}  # servers listed as draining while they held connections, and since when
         self.requests, self.held = dict[str, RequestState](), dict[str, RequestState]()
-        self.awaiting_report: dict[
-            str, dict[str, RequestState]
-        ] = {}  # by server, the requests that wait for its report
+        # By server, the requests that wait for its report
+        self.awaiting_report: dict[str, dict[str, RequestState]] = {}
         self.report_waits: deque[RequestState] = deque()  # requests that have a timer for their wait, in its order
         self.actions: list[api.Action] = []
         self.handlers: dict[type[api.Event], Callable[[Any], None]] = {
