--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -10,6 +10,7 @@
 from netfakes import SETTINGS, Bench
 from test_net_parts import OPEN, establish
 from test_relay_process import World, open_line, world  # noqa: F401  (a fixture)
+from twisted.internet import error
 
 from scaledeal import interface as api
 from scaledeal.net.buffers import MAX_LINE_BYTES
@@ -84,3 +85,50 @@
     )
     assert not table.by_name and len(table.weights._sorted) == len(table._cell_rings) == len(table._zone_rings) == 0
     assert len(table._probe_queue) < 200 and not table.probed
+
+
+# Guards against what other deployments saw and this one did not: clients that write slowly or stop half way.
+@pytest.mark.parametrize("piece", [1, 70, 4000])
+def test_unfinished_first_lines_take_a_buffer_each_and_give_it_back(piece: int) -> None:
+    bench = Bench(descriptors=1024)
+    line = (OPEN[:-2] + b",x=").ljust(4000, b"y")
+
+    def unfinished() -> None:
+        client = bench.client()
+        for first in range(0, len(line), piece):
+            client.receive(line[first : first + piece])
+
+    assert memory_of(50, unfinished) < MAX_MEMORY_OF_A_CLIENT
+    assert bench.pool.in_use == 51
+    bench.reactor.pump([0.1] * 40)
+    assert bench.pool.in_use == 0 and len(bench.pool.free) <= bench.pool.max_free and not bench.driver.transactions
+
+
+# Guards against what other deployments saw and this one did not: requests with ever new ids, keys, groups and classes.
+def test_requests_with_ever_new_names_leave_nothing_behind() -> None:
+    bench = Bench(descriptors=1024)
+    driver = bench.driver
+    driver.balancer = balancer = Balancer(replace(SETTINGS, groups=True), 1)
+    bench.list(a="127.0.0.1:1", b="127.0.0.1:2")
+
+    def request(number: int) -> None:
+        client = bench.client()
+        known = b"browse" if number % 3 else b"c%d" % number
+        client.receive(b"OPEN n%d key%d c=%s,d=800,g=group%d,q%d=1\r\n" % (number, number, known, number, number))
+        if number % 3:
+            server = bench.reactor.dialled[-1].up(bench.reactor)
+            server.flush()
+            server.receive(b"UP 1\r\n")
+        client.lose(error.ConnectionLost())
+        bench.reactor.advance(1)
+        bench.reactor.dialled.clear()
+        bench.reactor.up.clear()
+
+    numbers = iter(range(3000))
+    for _ in range(1500):
+        request(next(numbers))
+    assert memory_of(1000, lambda: request(next(numbers))) < 100, "bytes for each request that is over"
+    assert not driver.transactions and not driver.request_ids.open_here() and not driver.load_lines.loads
+    assert not balancer.requests and not balancer.held and not balancer.holders and not balancer.awaiting_report
+    assert not any(server.connections or server.groups for server in balancer.servers.values())
+    assert set(bench.admission.turned_away) <= {"invalid request"}
